--- /dev/null
+++ b/sloeswitch/actors/__init__.py
@@ -0,0 +1,1 @@
+"""The actors of a controller. Each owns its state; others send it messages."""
--- /dev/null
+++ b/sloeswitch/actors/fleet.py
@@ -0,0 +1,222 @@
+"""Fleet: renting by the coordinator, returning by each machine's owner.
+
+Owns what was booked and not yet heard, the kinds the cloud refused, and the machines on their way back.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+
+from sloeswitch import wire
+from sloeswitch.actors.membership import Standing
+from sloeswitch.cloud import CloudClient, CloudTrouble
+from sloeswitch.core import fleet as plan
+from sloeswitch.core import tables as t
+from sloeswitch.core.fleet import Kind
+from sloeswitch.core.tables import Tables
+from sloeswitch.settings import Settings
+from sloeswitch.state import Replica, StateClient, Urgency
+
+if TYPE_CHECKING:
+    from sloeswitch.actors.machines import Machines
+
+log = logging.getLogger("fleet")
+
+
+@dataclass
+class Expected:
+    """A machine that was rented and is not registered yet."""
+
+    kind: Kind
+    since: float
+
+
+class Fleet:
+    def __init__(
+        self, settings: Settings, client: StateClient, cloud: CloudClient, replica: Replica, standing: Standing,
+        now: Callable[[], float],
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.client = client
+        self.cloud = cloud
+        self.replica = replica
+        self.tables: Tables = replica.tables
+        self.standing = standing
+        self.now = now
+        self.machines: Machines | None = None
+        self.types: dict[str, wire.MachineType] = {}
+        self.expected: dict[str, Expected] = {}
+        self.refused: dict[Kind, float] = {}
+        self.returning: dict[str, None] = {}
+        self.wake = anyio.Event()
+        self.bookings = 0
+        self.listed_at = float("-inf")
+        self.catalog_at = float("-inf")
+        self.idle_since: dict[str, float] = {}
+
+    # -- returning
+
+    def give_back(self, machine: str) -> bool:
+        """Has the machine deleted. False when that is under way already."""
+        if machine in self.returning:
+            return False
+        self.returning[machine] = None
+        self.wake.set()
+        return True
+
+    async def return_forever(self) -> None:
+        from sloeswitch.actors.machines import Deleted
+
+        while True:
+            if not self.returning:
+                await self.wake.wait()
+            self.wake = anyio.Event()
+            batch = list(self.returning)[:100]
+            if not batch:
+                continue
+            try:
+                await self.cloud.delete(batch)
+            except CloudTrouble as error:
+                log.info("deleting %s: %s", ", ".join(batch), error)
+                await anyio.sleep(self.settings.report_s)
+                continue
+            for name in batch:
+                del self.returning[name]
+                self.expected.pop(name, None)
+            assert self.machines is not None
+            self.machines.tell(Deleted(batch))
+
+    # -- renting
+
+    async def rent_forever(self) -> None:
+        while True:
+            await anyio.sleep(self.settings.list_lag_s / 10)
+            if not self.replica.loaded:
+                continue
+            try:
+                if self.standing.coordinating or not self.tables.types:
+                    await self._read_catalog()
+                if self.standing.coordinating:
+                    await self._list()
+                    await self._rent()
+                elif self.expected:
+                    self.expected.clear()
+            except CloudTrouble as error:
+                log.info("cloud: %s", error)
+                await anyio.sleep(self.settings.list_lag_s / 5)
+            except Exception:
+                log.exception("while renting")
+
+    async def _read_catalog(self) -> None:
+        now = self.now()
+        if now - self.catalog_at < 6 * self.settings.list_lag_s and self.types:
+            return
+        if not self.standing.coordinating:
+            return
+        catalog = await self.cloud.catalog()
+        self.catalog_at = now
+        self.types = {kind.name: kind for kind in catalog.types}
+        stored = self.tables.types
+        if stored.keys() != self.types.keys() or any(
+            (a.cores, a.gpus, a.memory, a.zones) != (b.cores, b.gpus, b.memory, b.zones)
+            for a, b in ((stored[name], self.types[name]) for name in stored)
+        ):
+            value = msgspec.to_builtins(catalog)
+            await self.client.commit({t.COORD: self.tables.stamp(t.COORD)}, {t.CATALOG: value}, [], Urgency.CLAIM)
+            self.replica.hint()
+            log.info("machine types: %s", ", ".join(self.types))
+
+    async def _list(self) -> None:
+        now = self.now()
+        if now - self.listed_at < self.settings.list_lag_s / 2:
+            return
+        self.listed_at = now
+        listed = await self.cloud.machines()
+        lag = 2.5 * self.settings.list_lag_s
+        for item in listed:
+            if item.id in self.tables.deleted or item.id in self.returning:
+                continue
+            if item.state == "failed":
+                # It stopped on its own; deleting it accounts for its tasks.
+                self.give_back(item.id)
+                continue
+            if item.id in self.tables.machines or item.id in self.expected:
+                continue
+            log.info("%s was not expected", item.id)
+            self.expected[item.id] = Expected((item.type, item.zone, item.spot), now - item.age_s)
+        names = {item.id for item in listed}
+        for name, item2 in list(self.expected.items()):
+            kind = self.types.get(item2.kind[0])
+            age = now - item2.since
+            if name in self.tables.machines or name in self.tables.deleted or (age > lag and name not in names):
+                del self.expected[name]
+            elif kind is not None and age > 4 * kind.boot_s + self.settings.lease_s:
+                log.info("%s does not come up", name)
+                self.refused[item2.kind] = now + self.settings.list_lag_s
+                self.give_back(name)
+
+    async def _rent(self) -> None:
+        now = self.now()
+        supply: dict[Kind, int] = {}
+        for name in [name for name in self.expected if name in self.tables.machines]:
+            del self.expected[name]
+        for row in self.tables.machines.values():
+            kind = (row.type, row.zone, row.spot)
+            supply[kind] = supply.get(kind, 0) + 1
+        for item in self.expected.values():
+            supply[item.kind] = supply.get(item.kind, 0) + 1
+        refused = {kind for kind, until in self.refused.items() if now < until}
+        wanted = plan.needs(self.tables, self.settings.teams)
+        choice = plan.rent(wanted, supply, self.types, refused, 50)
+        if choice is None:
+            return
+        self.bookings += 1
+        # The view number is stored and never given twice; within it the coordinator counts.
+        name = f"{self.standing.view.number}-{self.standing.tag}-{self.bookings}"
+        kind_name, zone, spot = choice.kind
+        rented = await self.cloud.rent(wire.Booking(name, kind_name, zone, spot, choice.count))
+        if rented is None or len(rented) < choice.count:
+            self.refused[choice.kind] = now + 2 * self.settings.list_lag_s
+        for machine in rented or ():
+            self.expected[machine] = Expected(choice.kind, now)
+        log.info("rented %d of %d %s in %s%s", len(rented or ()), choice.count, kind_name, zone,
+                 " (spot)" if spot else "")  # fmt: skip
+
+    # -- idle machines
+
+    def watch_idle(self) -> None:
+        """Returns this controller's machines that had nothing to do for about a boot time."""
+        if self.machines is None or not self.standing.may_act:
+            return
+        now = self.now()
+        settled = self.tables.all_settled()
+        backlog = [
+            job.spec for job in self.tables.jobs.values()
+            if job.status == t.LIVE and self.tables.open_tasks(job, settled)
+        ]  # fmt: skip
+        for machine in list(self.machines.yard.machines.values()):
+            kind = self.tables.types.get(machine.type)
+            if kind is None or not machine.heard or machine.draining:
+                continue
+            if machine.attempts or any(plan.Offer((machine.type, machine.zone, machine.spot), kind).suits(spec)
+                                       for spec in backlog):  # fmt: skip
+                self.idle_since.pop(machine.name, None)
+                continue
+            since = self.idle_since.setdefault(machine.name, now)
+            if now - since > kind.boot_s:
+                del self.idle_since[machine.name]
+                self.machines._return(machine, "idle")
+
+    async def watch_idle_forever(self) -> None:
+        while True:
+            await anyio.sleep(self.settings.report_s)
+            try:
+                self.watch_idle()
+            except Exception:
+                log.exception("while looking for idle machines")
--- /dev/null
+++ b/sloeswitch/actors/jobs.py
@@ -0,0 +1,398 @@
+"""Jobs: every write to job records. Owns what is learnt but not yet stored.
+
+One round at a time: completions, releases and adoptions that are due, together with the claims that the
+machines actor asked for (its Steal), go into one conditional transaction. A conflict means that
+somebody else was quicker: the tables are read afresh and the next round starts from them.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import msgspec
+
+from sloeswitch import wire
+from sloeswitch.actors.base import Actor, Ask
+from sloeswitch.actors.membership import Standing
+from sloeswitch.core import quota, taskset
+from sloeswitch.core import tables as t
+from sloeswitch.core.tables import DONE, LIVE, WITHDRAWN, Job, Progress, Tables
+from sloeswitch.settings import Settings
+from sloeswitch.state import Outcome, Replica, Stale, StateClient, Urgency
+
+log = logging.getLogger("jobs")
+
+
+@dataclass
+class Steal(Ask):
+    """Claim so many tasks of these jobs. Answered when the claims are in the tables, or not to be had."""
+
+    wants: dict[str, int] = field(default_factory=dict)
+    zones: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass
+class Complete:
+    job: str
+    tasks: int
+
+
+@dataclass
+class Release:
+    """Tasks claimed by this controller that are nowhere and shall be open to others."""
+
+    job: str
+    tasks: int
+
+
+@dataclass
+class Adopt:
+    """Tasks found on a machine that was another controller's."""
+
+    job: str
+    tasks: int
+
+
+@dataclass
+class Submit(Ask):
+    spec: wire.JobSpec | None = None
+
+
+@dataclass
+class Cancel(Ask):
+    job: str = ""
+
+
+@dataclass
+class Unstored:
+    """What is learnt of a job and not yet in the tables, as sets of tasks."""
+
+    done: int = 0
+    released: int = 0
+    adopted: int = 0
+    since: float = 0.0
+
+
+class Jobs(Actor):
+    name = "jobs"
+
+    def __init__(
+        self, settings: Settings, client: StateClient, replica: Replica, standing: Standing,
+        now: Callable[[], float],
+    ) -> None:  # fmt: skip
+        super().__init__()
+        self.settings = settings
+        self.client = client
+        self.replica = replica
+        self.tables: Tables = replica.tables
+        self.standing = standing
+        self.now = now
+        self.unstored: dict[str, Unstored] = {}
+        self.steal: Steal | None = None
+        self.wake = anyio.Event()
+        # Completions wait this long for company: users may learn of them within 3 s (protocol).
+        self.batch_s = 0.6
+        self.largest = int(settings.value_kb * 1024 * 0.9)
+
+    # -- messages
+
+    async def handle(self, message: Any) -> None:
+        if isinstance(message, Complete):
+            self._note(message.job).done |= message.tasks
+        elif isinstance(message, Release):
+            self._note(message.job).released |= message.tasks
+        elif isinstance(message, Adopt):
+            self._note(message.job).adopted |= message.tasks
+        elif isinstance(message, Steal):
+            if self.steal is not None:
+                self.steal.reply(False)
+            self.steal = message
+        self.wake.set()
+
+    def _note(self, job: str) -> Unstored:
+        note = self.unstored.get(job)
+        if note is None:
+            note = self.unstored[job] = Unstored(since=self.now())
+        return note
+
+    def unstored_done(self, job: str) -> int:
+        note = self.unstored.get(job)
+        return 0 if note is None else note.done | note.released
+
+    def forget(self) -> None:
+        """A new run of the controller: claims are not its own any more. Completions stay true."""
+        for note in self.unstored.values():
+            note.released = note.adopted = 0
+
+    # -- rounds
+
+    async def store_forever(self) -> None:
+        while True:
+            with anyio.move_on_after(self.batch_s / 2):
+                await self.wake.wait()
+            self.wake = anyio.Event()
+            try:
+                await self._round()
+            except Exception:
+                log.exception("while storing")
+                await anyio.sleep(self.batch_s)
+
+    async def _round(self) -> None:
+        steal, self.steal = self.steal, None
+        if not self.replica.loaded or not self.standing.boot:
+            if steal is not None:
+                steal.reply(False)
+            return
+        acting = self.standing.may_act
+        if steal is not None and acting:
+            try:
+                # Stale tables make conflicts, and those cost writes too.
+                await self.replica.fresh(self.client.timeout_s)
+            except Stale:
+                acting = False
+        self._tidy()
+        settled = self.tables.all_settled()
+        conditions: dict[str, int] = {}
+        writes: dict[str, Any] = {}
+        drops: list[str] = []
+        claimed = False
+        urgency = Urgency.PROGRESS
+        names: dict[str, None] = {}
+        for name, note in self.unstored.items():
+            if note.adopted:
+                names[name] = None
+        for name in steal.wants if steal is not None and acting else ():
+            names[name] = None
+        due = self.now() - self.batch_s
+        for name, note in self.unstored.items():
+            if note.since <= due or self._completes(name, note):
+                names[name] = None
+        for name, candidate in self.tables.jobs.items():
+            if candidate.status == WITHDRAWN and self._withdrawn_over(candidate, settled):
+                names[name] = None
+        teams: dict[str, list[float]] = {}
+        room = self.settings.txn_ops
+        for name in names:
+            job = self.tables.jobs.get(name)
+            if job is None:
+                continue
+            want = steal.wants.get(name, 0) if steal is not None and acting else 0
+            team = job.spec.team
+            cost = 2 + (1 if want and t.team_key(team) not in writes else 0)
+            if len(writes) + len(drops) + cost > room:
+                break
+            voiding = settled and acting and bool(self.tables.abandoned(job))
+            progress = self._updated(job, voiding)
+            if voiding:
+                claimed = True  # relies on the view
+            gained = 0
+            if want and job.status == LIVE:
+                gained = self._claim(job, progress, want, settled, teams, steal)
+            if gained:
+                claimed = True
+                urgency = Urgency.CLAIM
+                writes[t.team_key(team)] = {}
+                conditions[t.team_key(team)] = self.tables.stamp(t.team_key(team))
+            if name in self.unstored and self.unstored[name].adopted:
+                claimed = True
+                urgency = Urgency.CLAIM
+            self._put(job, progress, conditions, writes, drops)
+        if not writes and not drops:
+            if steal is not None:
+                steal.reply(False)
+            return
+        if claimed:
+            conditions.update(self.standing.claim_conditions())
+        outcome, _epoch = await self.client.commit(conditions, writes, drops, urgency)
+        if outcome is not Outcome.DONE:
+            log.debug("stored nothing: %s", outcome.value)
+        try:
+            await self.replica.fresh(self.client.timeout_s)
+        except Stale:
+            pass
+        self._tidy()
+        if steal is not None:
+            steal.reply(outcome is Outcome.DONE)
+        if outcome in (Outcome.UNKNOWN, Outcome.REFUSED):
+            await anyio.sleep(self.batch_s / 2)
+
+    def _completes(self, name: str, note: Unstored) -> bool:
+        job = self.tables.jobs.get(name)
+        return job is not None and note.done | job.progress.done == job.everything
+
+    def _withdrawn_over(self, job: Job, settled: bool) -> bool:
+        """Whether a cancelled job has no task left that may exist. The coordinator puts those away
+        that no claim holder will."""
+        if not self.standing.coordinating:
+            return False
+        tags = self.tables.view.tags()
+        return not any(mask for tag, mask in job.progress.claims.items() if tag in tags or not settled)
+
+    def _updated(self, job: Job, settled: bool) -> Progress:
+        """The job's progress with what is not yet stored."""
+        progress = job.progress.copy()
+        if settled:
+            for tag in self.tables.abandoned(job):
+                del progress.claims[tag]
+        note = self.unstored.get(job.spec.id)
+        if note is None:
+            return progress
+        tag = self.standing.tag
+        progress.done |= note.done & job.everything
+        adopted = note.adopted & ~progress.done & job.everything
+        for holder in list(progress.claims):
+            mask = progress.claims[holder] & ~progress.done
+            mask &= ~(note.released if holder == tag else adopted)
+            progress.claims[holder] = mask
+        if adopted:
+            progress.claims[tag] = progress.claims.get(tag, 0) | adopted
+        progress.claims = {holder: mask for holder, mask in progress.claims.items() if mask}
+        return progress
+
+    def _claim(
+        self, job: Job, progress: Progress, want: int, settled: bool, teams: dict[str, list[float]],
+        steal: Steal | None,
+    ) -> int:  # fmt: skip
+        spec = job.spec
+        team = self.settings.teams.get(spec.team)
+        if team is None:
+            return 0
+        used = teams.get(spec.team)
+        if used is None:
+            used = teams[spec.team] = list(self.tables.team_use(spec.team))
+        free = job.everything & ~progress.done & ~progress.claimed()
+        count = min(want, quota.most_tasks(team, spec, used[0], used[1]))
+        if spec.gang and count < free.bit_count():
+            return 0
+        gained = taskset.lowest(free, count)
+        if not gained:
+            return 0
+        tag = self.standing.tag
+        progress.claims[tag] = progress.claims.get(tag, 0) | gained
+        if steal is not None and spec.id in steal.zones and (progress.zone is None or progress.claims.keys() == {tag}):
+            progress.zone = progress.zone or steal.zones[spec.id]
+        number = gained.bit_count()
+        used[0] += number * spec.cores
+        used[1] += number * spec.gpus
+        return number
+
+    def _put(
+        self, job: Job, progress: Progress, conditions: dict[str, int], writes: dict[str, Any], drops: list[str]
+    ) -> None:
+        name = job.spec.id
+        job_key, progress_key = t.job_key(name), t.progress_key(name)
+        conditions[job_key] = job.stamp
+        conditions[progress_key] = job.progress_stamp
+        if job.status == LIVE and progress.done == job.everything:
+            writes[job_key] = {"s": DONE, "n": job.spec.tasks}
+            if job.progress_stamp:
+                drops.append(progress_key)
+            return
+        if job.status == WITHDRAWN and not progress.claims:
+            writes[job_key] = {"s": WITHDRAWN, "n": job.spec.tasks}
+            if job.progress_stamp:
+                drops.append(progress_key)
+            return
+        value = progress.stored()
+        if value == job.progress.stored():
+            del conditions[job_key], conditions[progress_key]
+            return
+        if len(wire.encode(value)) > self.largest:
+            log.error("progress of %s is too scattered to be stored now", name)
+            del conditions[job_key], conditions[progress_key]
+            return
+        writes[progress_key] = value
+
+    def _tidy(self) -> None:
+        """Forgets what the tables hold by now."""
+        tag = self.standing.tag
+        for name in list(self.unstored):
+            note = self.unstored[name]
+            job = self.tables.jobs.get(name)
+            if job is None:
+                if name in self.tables.over:
+                    del self.unstored[name]
+                continue
+            progress = job.progress
+            note.done &= ~progress.done
+            note.released &= progress.claims.get(tag, 0)
+            note.adopted &= ~progress.claims.get(tag, 0) & ~progress.done
+            if not (note.done or note.released or note.adopted):
+                del self.unstored[name]
+
+    # -- users' requests; each runs beside the rounds, as its own conditional write
+
+    async def submit(self, spec: wire.JobSpec) -> tuple[str, bool] | None:
+        """Accepts a job. Its status and whether it is new, or None when it cannot be stored now."""
+        key = t.job_key(spec.id)
+        value = {
+            "s": LIVE,
+            "n": spec.tasks,
+            "t": int(time.time() * 1000),
+            "spec": msgspec.to_builtins(spec),
+        }
+        outcome, epoch = await self.client.commit({key: 0}, {key: value}, [], Urgency.USER)
+        if outcome is Outcome.DONE:
+            self.replica.hint()
+            return wire.QUEUED, True
+        if outcome is Outcome.REFUSED:
+            return None
+        # Somebody stored it before us, or the answer was lost: read what is there.
+        try:
+            await self.replica.fresh(self.client.timeout_s)
+        except Stale:
+            return None
+        status = self.status(spec.id)
+        return None if status is None else (status, False)
+
+    async def cancel(self, name: str) -> str | None:
+        """Cancels a job: the final status, "" when there is no such job, None when it cannot be stored now."""
+        for _ in range(4):
+            if name in self.tables.over:
+                return self.status(name)
+            job = self.tables.jobs.get(name)
+            if job is None:
+                try:
+                    await self.replica.fresh(self.client.timeout_s)
+                except Stale:
+                    return None
+                if self.status(name) is None:
+                    return ""
+                continue
+            if job.status == WITHDRAWN:
+                return wire.CANCELLED
+            key = t.job_key(name)
+            value = {
+                "s": WITHDRAWN,
+                "n": job.spec.tasks,
+                "t": job.submitted_ms,
+                "spec": msgspec.to_builtins(job.spec),
+            }
+            outcome, _epoch = await self.client.commit({key: job.stamp}, {key: value}, [], Urgency.USER)
+            if outcome is Outcome.DONE:
+                self.replica.hint()
+                return wire.CANCELLED
+            if outcome is Outcome.REFUSED:
+                return None
+            try:
+                await self.replica.fresh(self.client.timeout_s)
+            except Stale:
+                return None
+        return None
+
+    def status(self, name: str) -> str | None:
+        """The status that the tables tell, in the users' words."""
+        over = self.tables.over.get(name)
+        if over is not None:
+            return wire.DONE if over[0] == DONE else wire.CANCELLED
+        job = self.tables.jobs.get(name)
+        if job is None:
+            return None
+        if job.status == WITHDRAWN:
+            return wire.CANCELLED
+        return wire.RUNNING if any(job.progress.claims.values()) else wire.QUEUED
--- /dev/null
+++ b/sloeswitch/actors/membership.py
@@ -0,0 +1,205 @@
+"""Membership: this controller's lease, the coordinator's key, and the numbered views.
+
+Owns the standing: who this run of the controller is, and until when it may act and answer.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+
+from sloeswitch import wire
+from sloeswitch.actors.base import Actor
+from sloeswitch.core import tables as t
+from sloeswitch.core.rendezvous import owner
+from sloeswitch.http import NoAnswer
+from sloeswitch.mesh import Mesh
+from sloeswitch.settings import Settings
+from sloeswitch.state import Outcome, Replica, Stale, StateClient, Urgency
+
+log = logging.getLogger("membership")
+
+
+@dataclass
+class Settled:
+    """All machines of this controller under the view are heard or accounted for."""
+
+    view: int
+
+
+class Standing:
+    """What this controller is entitled to. Written by the membership actor; others read it.
+
+    `may_act`: inside the own lease and knowing of no newer view, both counted from when the question
+    was *sent*. `may_answer`: besides, while every sibling confirms over the mesh that it knows of no
+    newer view; that keeps workers alive through an outage of the state service. A sibling that becomes
+    a new owner waits one controller lease longer than its confirmation could matter (see yard).
+    """
+
+    def __init__(self, settings: Settings, tables: t.Tables, replica: Replica, now: Callable[[], float]) -> None:
+        self.settings = settings
+        self.tables = tables
+        self.replica = replica
+        self.now = now
+        self.boot = 0
+        self.renewed_at = float("-inf")
+        self.mesh: Mesh | None = None
+        self.span_s = settings.controller_lease_s * (1 - settings.drift)
+
+    @property
+    def tag(self) -> str:
+        return t.tag_of(self.settings.member, self.boot)
+
+    @property
+    def view(self) -> t.View:
+        return self.tables.view
+
+    @property
+    def included(self) -> bool:
+        return self.boot != 0 and self.view.boot_of(self.settings.member) == self.boot
+
+    @property
+    def may_act(self) -> bool:
+        # The fresh read bounds how long a newer view can have gone unseen; the renewal bounds the lease.
+        return self.included and self.now() < min(self.renewed_at, self.replica.fresh_at) + self.span_s
+
+    @property
+    def may_answer(self) -> bool:
+        if self.may_act:
+            return True
+        if not self.included or self.mesh is None or not self.mesh.peers:
+            return False
+        peers = self.mesh.peers.values()
+        return all(peer.view <= self.view.number and self.now() < peer.asked_at + self.span_s for peer in peers)
+
+    @property
+    def coordinating(self) -> bool:
+        return self.may_act and self.tables.coordinator == (self.settings.member, self.boot)
+
+    def owner(self, machine: str) -> str | None:
+        return owner(machine, self.view.members)
+
+    def claim_conditions(self) -> dict[str, int]:
+        """What a write that relies on the view is conditional on."""
+        return {t.VIEW: self.tables.stamp(t.VIEW)}
+
+
+class Membership(Actor):
+    name = "membership"
+
+    def __init__(self, settings: Settings, client: StateClient, replica: Replica, standing: Standing) -> None:
+        super().__init__()
+        self.settings = settings
+        self.client = client
+        self.replica = replica
+        self.standing = standing
+        self.settled = 0
+
+    async def handle(self, message: Any) -> None:
+        if isinstance(message, Settled) and message.view != self.settled:
+            self.settled = message.view
+            await self._write_member()
+
+    async def keep_lease(self) -> None:
+        """Renews the lease and reads the view afresh, four times in a lease's span."""
+        while True:
+            started = self.client.now()
+            try:
+                await self._renew()
+                await self.replica.fresh(self.client.timeout_s)
+            except (NoAnswer, Stale):
+                pass
+            pause = self.settings.controller_lease_s / 4 - (self.client.now() - started)
+            await anyio.sleep(max(pause, self.settings.controller_lease_s / 16))
+
+    async def _renew(self) -> None:
+        standing = self.standing
+        if standing.boot:
+            sent = self.client.now()
+            reply = await self.client.call("POST", f"/grants/{standing.boot}/renew", b"{}", Urgency.LEASE)
+            if reply.status == 200:
+                standing.renewed_at = sent
+                return
+            if reply.status != 404:
+                return
+            # Others may already have acted on our absence: whatever was ours is so no more.
+            log.info("lease %d is over: joining anew", standing.boot)
+            standing.boot = 0
+        if not self.replica.loaded:
+            return
+        sent = self.client.now()
+        body = wire.encode({"lifeMs": int(self.settings.controller_lease_s * 1000)})
+        reply = await self.client.call("POST", "/grants", body, Urgency.LEASE)
+        if reply.status != 200:
+            return
+        try:
+            boot = wire.decode(reply.body, wire.Permit).permit
+        except wire.Malformed as error:
+            log.error("grant is malformed: %s", error)
+            return
+        self.settled = 0
+        if await self._write_member(boot):
+            standing.boot = boot
+            standing.renewed_at = sent
+            log.info("joined as %s", standing.tag)
+
+    async def _write_member(self, boot: int | None = None) -> bool:
+        boot = boot or self.standing.boot
+        if not boot:
+            return False
+        key = t.member_key(self.settings.member)
+        value = {"boot": boot, "settled": self.settled}
+        for _ in range(3):
+            outcome, _epoch = await self.client.commit({}, {key: value}, [], Urgency.LEASE, {key: boot})
+            if outcome in (Outcome.DONE, Outcome.NO_LEASE):
+                return outcome is Outcome.DONE
+            await anyio.sleep(self.client.timeout_s / 4)
+        return False
+
+    async def coordinate(self) -> None:
+        """Takes the coordinator's key when it is free, and writes a new view when members come or go."""
+        while True:
+            await self.replica.wait_change(self.settings.controller_lease_s / 4)
+            if not self.standing.boot or not self.replica.loaded:
+                continue
+            try:
+                await self._coordinate()
+            except Exception:
+                log.exception("while coordinating")
+
+    async def _coordinate(self) -> None:
+        tables, boot, me = self.replica.tables, self.standing.boot, self.settings.member
+        known = tables.coordinator
+        if tables.members.get(me) is None or tables.members[me].boot != boot:
+            return
+        # A coordinator's key of an earlier run of this very member is free as well: that process is gone.
+        if known is None or (known[0] == me and known[1] != boot):
+            conditions = {t.COORD: tables.stamp(t.COORD)}
+            value = {"member": me, "boot": boot}
+            outcome, _ = await self.client.commit(conditions, {t.COORD: value}, [], Urgency.LEASE, {t.COORD: boot})
+            await self._catch_up()
+            if outcome is Outcome.DONE:
+                log.info("coordinating")
+            return
+        if known != (me, boot):
+            return
+        members = tuple(sorted((name, row.boot) for name, row in tables.members.items()))
+        if members == tables.view.members:
+            return
+        conditions = {t.COORD: tables.stamp(t.COORD), t.VIEW: tables.stamp(t.VIEW)}
+        number = tables.view.number + 1
+        value = {"n": number, "members": [list(pair) for pair in members]}
+        outcome, _ = await self.client.commit(conditions, {t.VIEW: value}, [], Urgency.LEASE)
+        if outcome is Outcome.DONE:
+            log.info("view %d: %s", number, ", ".join(t.tag_of(*pair) for pair in members))
+        await self._catch_up()
+
+    async def _catch_up(self) -> None:
+        try:
+            await self.replica.fresh(self.client.timeout_s)
+        except Stale:
+            pass
--- /dev/null
+++ b/sloeswitch/actors/users.py
@@ -0,0 +1,174 @@
+"""Users: what comes in over `bind`. Each request is answered by its own task; nothing is held back."""
+
+from __future__ import annotations
+
+import logging
+
+from sloeswitch import wire
+from sloeswitch.actors.base import Busy
+from sloeswitch.actors.jobs import Jobs
+from sloeswitch.actors.machines import Beat, Machines
+from sloeswitch.actors.membership import Standing
+from sloeswitch.core.quota import impossible
+from sloeswitch.http import Answer, Request, refuse
+from sloeswitch.settings import Settings
+from sloeswitch.state import Replica, Stale, StateClient
+
+log = logging.getLogger("users")
+
+
+def fault(status: int, text: str) -> Answer:
+    return Answer(status, wire.encode({"error": text}))
+
+
+class Users:
+    def __init__(
+        self, settings: Settings, client: StateClient, replica: Replica, standing: Standing, jobs: Jobs,
+        machines: Machines,
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.client = client
+        self.replica = replica
+        self.tables = replica.tables
+        self.standing = standing
+        self.jobs = jobs
+        self.machines = machines
+        # Users wait 2 s for a poll and 5 s for the rest (protocol); a refusal must come well before.
+        self.read_s = 1.0
+        # State calls time out after a part of the controller lease; back by then.
+        self.retry_s = 1.0
+
+    async def handle(self, request: Request) -> Answer:
+        try:
+            return await self._route(request)
+        except Busy:
+            return refuse(self.retry_s)
+        except Exception:
+            log.exception("while handling %s %s", request.method, request.path)
+            return refuse(self.retry_s)
+
+    async def _route(self, request: Request) -> Answer:
+        path = request.path.partition("?")[0]
+        parts = path.strip("/").split("/")
+        if path == "/agent/beat":
+            return await self._only("POST", request) or await self._beat(request)
+        if path == "/healthz":
+            return await self._only("GET", request) or self._healthz()
+        if path == "/submissions":
+            return await self._only("POST", request) or await self._submit(request)
+        if len(parts) == 2 and parts[0] == "submissions":
+            return await self._only("GET", request) or await self._poll(parts[1])
+        if len(parts) == 3 and parts[0] == "submissions" and parts[2] == "cancel":
+            return await self._only("POST", request) or await self._cancel(parts[1])
+        return fault(404, "no such path")
+
+    @staticmethod
+    async def _only(method: str, request: Request) -> Answer | None:
+        if request.method == method:
+            return None
+        return Answer(405, b'{"error":"method not allowed"}', [("Allow", method)])
+
+    @property
+    def ready(self) -> bool:
+        return self.replica.loaded and bool(self.tables.types) and self.standing.included
+
+    def _healthz(self) -> Answer:
+        if not self.ready:
+            return refuse(self.retry_s)
+        if self.standing.may_act:
+            return Answer(200)
+        # Without the state service a node still tells final states and refuses the rest at once, which
+        # is as good as any other node can do, unless a sibling still reaches the state service.
+        mesh = self.standing.mesh
+        fresh = self.settings.controller_lease_s
+        others = mesh is not None and any(
+            peer.state_ok and self.client.now() - peer.asked_at < fresh for peer in mesh.peers.values()
+        )
+        return refuse(self.retry_s) if others else Answer(200)
+
+    async def _fresh(self) -> bool:
+        if not self.replica.loaded or not self.client.reachable:
+            return False
+        try:
+            await self.replica.fresh(self.read_s)
+        except Stale:
+            return False
+        return True
+
+    async def _submit(self, request: Request) -> Answer:
+        try:
+            name = wire.submitted_id(request.body)
+        except wire.Malformed as error:
+            return fault(400, str(error))
+        if name is None:
+            return fault(400, "id: not in the form wk-000412")
+        if not self.replica.loaded:
+            return refuse(self.retry_s)
+        if self.jobs.status(name) is not None:
+            return await self._known(name)
+        try:
+            spec = wire.check_spec(wire.decode(request.body, wire.JobSpec))
+        except wire.Malformed as error:
+            # A repeat of an accepted job is known whatever else is in it: look before refusing.
+            return await self._known_or(name, fault(400, str(error)))
+        if not self.tables.types:
+            return refuse(self.retry_s)
+        why = impossible(spec, self.settings.teams, self.tables.types)
+        if why is not None:
+            return await self._known_or(name, fault(422, why))
+        if len(request.body) > self.settings.value_kb * 1024 * 0.8:
+            return await self._known_or(name, fault(400, "too large to be stored"))
+        if not self.client.reachable:
+            return refuse(self.retry_s)
+        accepted = await self.jobs.submit(spec)
+        if accepted is None:
+            return refuse(self.retry_s)
+        status, new = accepted
+        return Answer(201 if new else 200, wire.submission_reply(name, status))
+
+    async def _known(self, name: str) -> Answer:
+        """Final states are told from the tables; anything else needs a fresh read, so that no user
+        gets an older answer than another node gave."""
+        if self.jobs.status(name) not in (wire.DONE, wire.CANCELLED) and not await self._fresh():
+            return refuse(self.retry_s)
+        return Answer(200, wire.submission_reply(name, self.jobs.status(name) or wire.QUEUED))
+
+    async def _known_or(self, name: str, otherwise: Answer) -> Answer:
+        if not await self._fresh():
+            return refuse(self.retry_s)
+        return await self._known(name) if self.jobs.status(name) is not None else otherwise
+
+    async def _poll(self, name: str) -> Answer:
+        if self.jobs.status(name) not in (wire.DONE, wire.CANCELLED) and not await self._fresh():
+            return refuse(self.retry_s)
+        status = self.jobs.status(name)
+        if status is None:
+            return fault(404, "no such job")
+        over = self.tables.over.get(name)
+        if over is not None:
+            return Answer(200, wire.poll_reply(name, status, over[1] if status == wire.DONE else 0, 0))
+        job = self.tables.jobs[name]
+        done = job.progress.done.bit_count()
+        running = job.progress.claimed().bit_count()
+        return Answer(200, wire.poll_reply(name, status, done, running))
+
+    async def _cancel(self, name: str) -> Answer:
+        if not self.replica.loaded:
+            return refuse(self.retry_s)
+        if self.jobs.status(name) not in (wire.DONE, wire.CANCELLED) and not self.client.reachable:
+            return refuse(self.retry_s)
+        status = await self.jobs.cancel(name)
+        if status is None:
+            return refuse(self.retry_s)
+        if status == "":
+            return fault(404, "no such job")
+        return Answer(200, wire.submission_reply(name, status))
+
+    async def _beat(self, request: Request) -> Answer:
+        try:
+            report = wire.decode(request.body, wire.Report)
+        except wire.Malformed as error:
+            log.error("malformed report: %s", error)
+            return fault(400, str(error))
+        answer: Answer | None = await self.machines.ask(Beat(report=report))
+        return answer or refuse(self.retry_s)
--- /dev/null
+++ b/sloeswitch/cli.py
@@ -0,0 +1,42 @@
+"""The command line: a thin program on top of the library."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import sys
+
+from sloeswitch import __version__
+from sloeswitch.settings import SettingsError, load
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def main(argv: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="sloeswitch", description="Runs one controller of a sloeswitch cluster.")
+    parser.add_argument("--config", metavar="FILE", help="the settings file (TOML)")
+    parser.add_argument("--check", metavar="FILE", help="name every fault of a settings file and stop")
+    parser.add_argument("--version", action="version", version=f"sloeswitch {__version__}")
+    args = parser.parse_args(argv)
+    path = args.check or args.config
+    if path is None:
+        parser.error("one of --config and --check is needed")
+    try:
+        settings = load(path)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"{path}: {fault}", file=sys.stderr)
+        return 2
+    if args.check:
+        return 0
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=LEVELS.get(os.environ.get("LOG_LEVEL", "info"), logging.INFO),
+        format="%(levelname).1s %(name)s: %(message)s",
+    )
+    # Imported late, so that --check and --version need none of it.
+    from sloeswitch.controller import run
+
+    run(settings)
+    return 0
--- /dev/null
+++ b/sloeswitch/cloud.py
@@ -0,0 +1,77 @@
+"""The cloud that rents machines by the second."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+import anyio
+
+from sloeswitch import wire
+from sloeswitch.http import Client, NoAnswer, Reply
+from sloeswitch.settings import Settings
+from sloeswitch.state import Bucket, Urgency
+
+log = logging.getLogger("cloud")
+
+
+class CloudTrouble(Exception):
+    """No usable answer; what was asked for may or may not happen."""
+
+
+class CloudClient:
+    def __init__(self, settings: Settings, now: Callable[[], float]) -> None:
+        self.http = Client(settings.cloud, most_idle=2)
+        self.now = now
+        self.bucket = Bucket(0.9 * settings.cloud_rps / settings.count, now())
+        self.bucket.rate = max(self.bucket.rate, 0.05)
+        self.timeout_s = settings.lease_s / 2
+        self.burst = 1.0
+
+    async def _call(self, method: str, path: str, body: bytes | None) -> Reply:
+        while (wait := self.bucket.wait_s(min(1.0, self.bucket.rate), Urgency.LEASE, self.now())) > 0:
+            await anyio.sleep(wait)
+        if self.bucket.level < 0:
+            await anyio.sleep(-self.bucket.level / self.bucket.rate)
+        try:
+            return await self.http.request(method, path, body, self.timeout_s)
+        except NoAnswer as error:
+            raise CloudTrouble(str(error)) from None
+
+    async def catalog(self) -> wire.Catalog:
+        reply = await self._call("GET", "/catalog", None)
+        return self._read(reply, wire.Catalog)
+
+    async def rent(self, booking: wire.Booking) -> list[str] | None:
+        """Machines rented, or None when the cloud has none of the kind."""
+        reply = await self._call("POST", "/machines", wire.encode(booking))
+        if reply.status == 503 and b"no capacity" in reply.body:
+            return None
+        return self._read(reply, wire.Booked).machines
+
+    async def delete(self, machines: list[str]) -> None:
+        """Returns once the machines and all that is on them are gone."""
+        reply = await self._call("POST", "/machines/delete", wire.delete_body(machines))
+        if reply.status != 200:
+            raise CloudTrouble(f"status {reply.status}")
+
+    async def machines(self) -> list[wire.Listed]:
+        found: list[wire.Listed] = []
+        after = ""
+        while True:
+            path = "/machines?page=500" + (f"&after={after}" if after else "")
+            page = self._read(await self._call("GET", path, None), wire.Listing)
+            found += page.machines
+            if not page.more or not page.machines:
+                return found
+            after = page.machines[-1].id
+
+    @staticmethod
+    def _read(reply: Reply, kind: type[wire.T]) -> wire.T:
+        if reply.status != 200:
+            raise CloudTrouble(f"status {reply.status}")
+        try:
+            return wire.decode(reply.body, kind)
+        except wire.Malformed as error:
+            log.error("cloud answer is malformed: %s", error)
+            raise CloudTrouble("malformed") from None
--- /dev/null
+++ b/sloeswitch/controller.py
@@ -0,0 +1,61 @@
+"""Puts a controller together and runs it."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+from anyio.abc import SocketListener
+
+from sloeswitch.actors.fleet import Fleet
+from sloeswitch.actors.jobs import Jobs
+from sloeswitch.actors.machines import Machines
+from sloeswitch.actors.membership import Membership, Standing
+from sloeswitch.actors.users import Users
+from sloeswitch.cloud import CloudClient
+from sloeswitch.core.tables import Tables
+from sloeswitch.http import Server, listener_socket
+from sloeswitch.mesh import Mesh
+from sloeswitch.settings import Settings
+from sloeswitch.state import Replica, StateClient
+
+log = logging.getLogger("controller")
+
+
+async def serve(settings: Settings) -> None:
+    """Runs one controller until it is killed."""
+    now = anyio.current_time
+    tables = Tables()
+    client = StateClient(settings, lambda: len(tables.view.members) or settings.count, now)
+    replica = Replica(client, tables, now)
+    standing = Standing(settings, tables, replica, now)
+    mesh = Mesh(settings.siblings, settings.controller_lease_s / 4, now, lambda: (tables.view.number, client.reachable))
+    standing.mesh = mesh
+    membership = Membership(settings, client, replica, standing)
+    jobs = Jobs(settings, client, replica, standing, now)
+    machines = Machines(settings, client, replica, standing, jobs, membership, now)
+    fleet = Fleet(settings, client, CloudClient(settings, now), replica, standing, now)
+    machines.fleet, fleet.machines = fleet, machines
+    users = Users(settings, client, replica, standing, jobs, machines)
+    # Some sockets are kept for the state service, the cloud, the siblings and direct commands.
+    server = Server(users.handle, idle_s=6 * settings.lease_s, most_connections=int(0.7 * settings.fd_limit))
+    listener = await SocketListener.from_socket(listener_socket(settings.bind))
+    mesh_listener = await SocketListener.from_socket(listener_socket(settings.mesh))
+    log.info("%s in %s serves %s:%d", settings.member, settings.zone, settings.bind.host, settings.bind.port)
+    async with anyio.create_task_group() as group:
+        machines.group = group
+        replica.start(group)
+        for sibling in settings.siblings:
+            group.start_soon(mesh.ask_forever, sibling)
+        for loop in (
+            membership.run, membership.keep_lease, membership.coordinate, jobs.run, jobs.store_forever,
+            machines.run, machines.tick_forever, fleet.return_forever, fleet.rent_forever,
+            fleet.watch_idle_forever,
+        ):  # fmt: skip
+            group.start_soon(loop)
+        group.start_soon(listener.serve, server.serve)
+        group.start_soon(mesh_listener.serve, mesh.serve)
+
+
+def run(settings: Settings) -> None:
+    anyio.run(serve, settings)
--- /dev/null
+++ b/sloeswitch/core/fleet.py
@@ -0,0 +1,123 @@
+"""What to rent and when to return it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from sloeswitch.core.quota import fits_type
+from sloeswitch.core.tables import LIVE, Tables
+from sloeswitch.settings import Team
+from sloeswitch.wire import JobSpec, MachineType
+
+Kind = tuple[str, str, bool]  # type, zone, spot
+
+
+@dataclass
+class Offer:
+    """One kind of machine that may be rented."""
+
+    kind: Kind
+    type: MachineType
+
+    @property
+    def price(self) -> float:
+        return self.type.spot_price if self.kind[2] else self.type.price
+
+    def suits(self, spec: JobSpec) -> bool:
+        _name, zone, spot = self.kind
+        return fits_type(spec, self.type) and spec.zone in (None, zone) and (spec.spot or not spot)
+
+
+@dataclass
+class Need:
+    """Room that a job's remaining tasks would take if all ran at once."""
+
+    spec: JobSpec
+    tasks: int
+
+
+def needs(tables: Tables, teams: dict[str, Team]) -> list[Need]:
+    """The live jobs' remaining tasks, within the teams' limits, oldest first."""
+    left = {name: [team.cpus_max, team.gpus_max] for name, team in teams.items()}
+    found = []
+    for job in sorted(tables.jobs.values(), key=lambda job: job.born):
+        limit = left.get(job.spec.team)
+        if job.status != LIVE or limit is None:
+            continue
+        spec = job.spec
+        tasks = job.left
+        if spec.cores > 0:
+            tasks = min(tasks, int(limit[0] / spec.cores + 1e-6))
+        if spec.gpus > 0:
+            tasks = min(tasks, int(limit[1] / spec.gpus + 1e-6))
+        if tasks > 0:
+            limit[0] -= tasks * spec.cores
+            limit[1] -= tasks * spec.gpus
+            found.append(Need(spec, tasks))
+    return found
+
+
+def machines_for(spec: JobSpec, tasks: int, kind: MachineType) -> float:
+    """How many machines of the type the tasks would fill, as a fraction."""
+    shares = [spec.cores / kind.cores if kind.cores else 0.0]
+    shares.append(spec.memory / kind.memory if kind.memory else 0.0)
+    shares.append(spec.gpus / kind.gpus if kind.gpus else 0.0)
+    return tasks * max(shares)
+
+
+def offers(types: dict[str, MachineType]) -> list[Offer]:
+    return [
+        Offer((kind.name, zone, spot), kind) for kind in types.values() for zone in kind.zones for spot in (True, False)
+    ]
+
+
+@dataclass
+class Plan:
+    kind: Kind
+    count: int
+
+
+def rent(
+    wanted: list[Need],
+    supply: dict[Kind, int],
+    types: dict[str, MachineType],
+    refused: set[Kind],
+    most: int,
+) -> Plan | None:
+    """The next booking, or None when the machines at hand, up or on their way, have room for all."""
+    room = {kind: count * types[kind[0]].cores for kind, count in supply.items() if kind[0] in types}
+    found = offers(types)
+    short: list[tuple[JobSpec, float]] = []
+    for need in wanted:
+        cores = need.tasks * max(need.spec.cores, 1e-3)
+        # Memory may bind before cores do: count the cores that it keeps from others.
+        for offer in found:
+            if cores <= 0:
+                break
+            if room.get(offer.kind, 0.0) > 0 and offer.suits(need.spec):
+                weight = machines_for(need.spec, 1, offer.type) * offer.type.cores / max(need.spec.cores, 1e-3)
+                taken = min(cores * weight, room[offer.kind])
+                room[offer.kind] -= taken
+                cores -= taken / weight
+        if cores > 1e-6:
+            short.append((need.spec, cores))
+    if not short:
+        return None
+    best: tuple[float, int, Kind, int] | None = None
+    for offer in found:
+        if offer.kind in refused:
+            continue
+        machines = sum(
+            machines_for(spec, 1, offer.type) * cores / max(spec.cores, 1e-3)
+            for spec, cores in short
+            if offer.suits(spec)
+        )
+        if machines < 0.5:
+            continue
+        count = min(most, max(1, math.floor(machines)))
+        price = offer.price / max(offer.type.cores, 1e-3)
+        candidate = (price, supply.get(offer.kind, 0), offer.kind, count)
+        if best is None or candidate[:2] < best[:2]:
+            best = candidate
+    return Plan(best[2], best[3]) if best is not None else None
--- /dev/null
+++ b/sloeswitch/core/placement.py
@@ -0,0 +1,91 @@
+"""Which machine takes which task."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sloeswitch.core import taskset
+from sloeswitch.core.quota import SLACK
+from sloeswitch.core.tables import Job
+from sloeswitch.wire import JobSpec
+
+
+@dataclass
+class Room:
+    """What a machine has free. Placement takes from it."""
+
+    machine: str
+    type: str
+    zone: str
+    spot: bool
+    cores: float
+    gpus: float
+    memory: float
+    images: set[str] = field(default_factory=set)
+    speed: float = 1.0
+
+    def count(self, spec: JobSpec) -> int:
+        """How many tasks of the job fit."""
+        most = spec.tasks
+        if spec.cores > 0:
+            most = min(most, int((self.cores + SLACK) // spec.cores))
+        if spec.gpus > 0:
+            most = min(most, int((self.gpus + SLACK) // spec.gpus))
+        if spec.memory > 0:
+            most = min(most, int((self.memory + SLACK) // spec.memory))
+        return max(0, most)
+
+    def take(self, spec: JobSpec, count: int = 1) -> None:
+        self.cores -= count * spec.cores
+        self.gpus -= count * spec.gpus
+        self.memory -= count * spec.memory
+        self.images.add(spec.image)
+
+
+def allowed(spec: JobSpec, room: Room) -> bool:
+    return (
+        (spec.types is None or room.type in spec.types)
+        and (spec.zone is None or spec.zone == room.zone)
+        and (spec.spot or not room.spot)
+    )
+
+
+def zone_allows(job: Job, index: int, zone: str) -> bool:
+    """The zone rules of a job's tasks against each other. `together`: all in the job's stored zone.
+    `spread`: the lower half of the tasks, rounded up, in the stored zone, the others anywhere else;
+    fixed by task number, so that controllers need not count each other's tasks."""
+    spec = job.spec
+    if spec.one_zone:
+        return job.progress.zone in (None, zone)
+    if spec.spread:
+        home = job.progress.zone
+        return home is None or (zone == home) == (index < (spec.tasks + 1) // 2)
+    return True
+
+
+def fitting(spec: JobSpec, rooms: list[Room]) -> list[Room]:
+    """Machines with room for the job, best first: those that have its image, so that it is not fetched
+    again, then the fast ones, then the ones with most room, so that a job's tasks share fetches."""
+    found = [room for room in rooms if allowed(spec, room) and room.count(spec) > 0]
+    found.sort(key=lambda room: (spec.image not in room.images, -room.speed, -room.cores))
+    return found
+
+
+def place(job: Job, tasks: int, rooms: list[Room]) -> list[tuple[int, Room]]:
+    """Puts tasks (a set) of the job on machines, taking their room. What does not fit stays out."""
+    spec = job.spec
+    placed: list[tuple[int, Room]] = []
+    bound = spec.one_zone or spec.spread
+    for room in fitting(spec, rooms):
+        if not tasks:
+            break
+        count = room.count(spec)
+        choice = tasks
+        if bound:
+            choice = sum(1 << index for index in taskset.members(tasks) if zone_allows(job, index, room.zone))
+        chosen = taskset.lowest(choice, count)
+        if chosen:
+            room.take(spec, chosen.bit_count())
+            placed += [(index, room) for index in taskset.members(chosen)]
+            tasks &= ~chosen
+    return placed
--- /dev/null
+++ b/sloeswitch/core/rendezvous.py
@@ -0,0 +1,15 @@
+"""Which member of a view owns a machine: the highest hash of the pair, so that a change of the view
+moves only the machines of members that came or went."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+
+def owner(machine: str, members: tuple[tuple[str, int], ...]) -> str | None:
+    best: tuple[bytes, str] | None = None
+    for member, _boot in members:
+        weight = (blake2b(f"{machine}|{member}".encode(), digest_size=8).digest(), member)
+        if best is None or weight > best:
+            best = weight
+    return best[1] if best else None
--- /dev/null
+++ b/sloeswitch/core/tables.py
@@ -0,0 +1,275 @@
+"""The replicated tables: what the state service holds, as this controller last saw it.
+
+Keys, all under one versioned prefix so that a later layout can be told apart:
+
+    m/MEMBER   {"boot", "settled"}   a live controller (lease-bound)
+    coord      {"member", "boot"}    the coordinator (lease-bound)
+    view       {"n", "members"}      the numbered view: [[member, boot], ...]
+    catalog    {...}                 machine types, as the cloud last told them
+    j/JOB      {"s", "n", ...}       a job: "live", "done" or "withdrawn"; the spec until it is over
+    r/JOB      {"d", "c", "z"}       its progress: done tasks, claims by controller, zone
+    q/TEAM     {}                    turnstile: written by every claim of the team's limit
+    h/MACHINE  {"a", "t", "z", "s"}  a machine that may hold tasks
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from sloeswitch.core import taskset
+from sloeswitch.wire import Catalog, JobSpec, MachineType
+
+log = logging.getLogger("tables")
+
+PREFIX = "s1/"
+VIEW, COORD, CATALOG = PREFIX + "view", PREFIX + "coord", PREFIX + "catalog"
+LIVE, DONE, WITHDRAWN = "live", "done", "withdrawn"
+
+
+def member_key(member: str) -> str:
+    return f"{PREFIX}m/{member}"
+
+
+def job_key(job: str) -> str:
+    return f"{PREFIX}j/{job}"
+
+
+def progress_key(job: str) -> str:
+    return f"{PREFIX}r/{job}"
+
+
+def team_key(team: str) -> str:
+    return f"{PREFIX}q/{team}"
+
+
+def machine_key(machine: str) -> str:
+    return f"{PREFIX}h/{machine}"
+
+
+def tag_of(member: str, boot: int) -> str:
+    """Names one run of one controller: claims carry it, so that a restart never owns old claims."""
+    return f"{member}.{boot}"
+
+
+@dataclass(frozen=True)
+class View:
+    number: int
+    members: tuple[tuple[str, int], ...]
+
+    def tags(self) -> frozenset[str]:
+        return frozenset(tag_of(member, boot) for member, boot in self.members)
+
+    def boot_of(self, member: str) -> int | None:
+        return next((boot for name, boot in self.members if name == member), None)
+
+
+NO_VIEW = View(0, ())
+
+
+@dataclass
+class Progress:
+    """The mutable part of a job, as one stored value."""
+
+    done: int = 0
+    claims: dict[str, int] = field(default_factory=dict)
+    zone: str | None = None
+    attempt: int = 0
+
+    def copy(self) -> Progress:
+        return Progress(self.done, dict(self.claims), self.zone, self.attempt)
+
+    def claimed(self) -> int:
+        taken = 0
+        for mask in self.claims.values():
+            taken |= mask
+        return taken
+
+    def stored(self) -> dict[str, Any]:
+        value: dict[str, Any] = {
+            "d": taskset.pack(self.done),
+            "c": {tag: taskset.pack(mask) for tag, mask in self.claims.items() if mask},
+        }
+        if self.zone is not None:
+            value["z"] = self.zone
+        if self.attempt:
+            value["a"] = self.attempt
+        return value
+
+    @staticmethod
+    def from_stored(value: dict[str, Any]) -> Progress:
+        return Progress(
+            taskset.unpack(value["d"]),
+            {tag: taskset.unpack(runs) for tag, runs in value["c"].items()},
+            value.get("z"),
+            value.get("a", 0),
+        )
+
+
+@dataclass
+class Job:
+    """A job that is not over, or is cancelled with tasks not yet accounted for."""
+
+    spec: JobSpec
+    status: str
+    stamp: int
+    born: int
+    submitted_ms: int
+    progress: Progress = field(default_factory=Progress)
+    progress_stamp: int = 0
+
+    @property
+    def everything(self) -> int:
+        return taskset.full(self.spec.tasks)
+
+    @property
+    def left(self) -> int:
+        return self.spec.tasks - self.progress.done.bit_count()
+
+
+@dataclass
+class MachineRow:
+    address: str
+    type: str
+    zone: str
+    spot: bool
+
+
+@dataclass
+class MemberRow:
+    boot: int
+    settled: int
+
+
+class Tables:
+    """Written by the replica only; everybody else in the process reads."""
+
+    def __init__(self) -> None:
+        self.clear()
+
+    def clear(self) -> None:
+        self.stamps: dict[str, int] = {}
+        self.members: dict[str, MemberRow] = {}
+        self.coordinator: tuple[str, int] | None = None
+        self.view = NO_VIEW
+        self.types: dict[str, MachineType] = {}
+        self.jobs: dict[str, Job] = {}
+        # Jobs that are over, kept for good: one small tuple each.
+        self.over: dict[str, tuple[str, int]] = {}
+        self.machines: dict[str, MachineRow] = {}
+        self.deleted: set[str] = set()
+        self._early: dict[str, tuple[Progress, int]] = {}
+
+    def stamp(self, key: str) -> int:
+        return self.stamps.get(key, 0)
+
+    def apply(self, key: str, value: Any, stamp: int) -> None:
+        """One change; `value` None means the key is gone. Older than what is known: ignored."""
+        if not key.startswith(PREFIX):
+            return
+        name = key[len(PREFIX) :]
+        kind, _, rest = name.partition("/")
+        if kind == "j" and rest in self.over:
+            return  # final; an overlapping read may still bring what was before
+        if stamp <= self.stamps.get(key, 0):
+            return
+        if value is None:
+            self.stamps.pop(key, None)
+        else:
+            self.stamps[key] = stamp
+        try:
+            self._apply(kind, rest, value, stamp)
+        except (KeyError, TypeError, ValueError, AttributeError, msgspec.MsgspecError) as error:
+            # A value that this version cannot read must not stop the rest.
+            log.error("stored value %s is malformed: %r", key, error)
+
+    def _apply(self, kind: str, rest: str, value: Any, stamp: int) -> None:
+        if kind == "j":
+            self._apply_job(rest, value, stamp)
+        elif kind == "r":
+            self._apply_progress(rest, value, stamp)
+        elif kind == "h":
+            if value is None:
+                self.machines.pop(rest, None)
+                self.deleted.add(rest)
+            else:
+                self.machines[rest] = MachineRow(value["a"], value["t"], value["z"], value["s"])
+                self.deleted.discard(rest)
+        elif kind == "m":
+            if value is None:
+                self.members.pop(rest, None)
+            else:
+                self.members[rest] = MemberRow(value["boot"], value["settled"])
+        elif kind == "view" and value is not None:
+            self.view = View(value["n"], tuple((member, boot) for member, boot in value["members"]))
+        elif kind == "coord":
+            self.coordinator = None if value is None else (value["member"], value["boot"])
+        elif kind == "catalog" and value is not None:
+            self.types = {item.name: item for item in msgspec.convert(value, Catalog).types}
+
+    def _apply_job(self, name: str, value: Any, stamp: int) -> None:
+        if value is None:
+            self.jobs.pop(name, None)
+            return
+        if "spec" not in value:
+            self.jobs.pop(name, None)
+            self._early.pop(name, None)
+            self.over[name] = (value["s"], value["n"])
+            self.stamps.pop(job_key(name), None)
+            return
+        known = self.jobs.get(name)
+        if known is not None:
+            known.status = value["s"]
+            known.stamp = stamp
+            return
+        spec = msgspec.convert(value["spec"], JobSpec)
+        job = Job(spec, value["s"], stamp, stamp, value["t"])
+        if name in self._early:
+            job.progress, job.progress_stamp = self._early.pop(name)
+        self.jobs[name] = job
+
+    def _apply_progress(self, name: str, value: Any, stamp: int) -> None:
+        progress = Progress() if value is None else Progress.from_stored(value)
+        job = self.jobs.get(name)
+        if job is not None:
+            job.progress = progress
+            job.progress_stamp = 0 if value is None else stamp
+        elif value is not None and name not in self.over:
+            self._early[name] = (progress, stamp)
+
+    def all_settled(self) -> bool:
+        """Whether every machine has been heard, or surely lost its tasks, under the present view.
+        From then on a task claimed by a controller outside the view, and adopted by nobody, is nowhere."""
+        return bool(self.view.members) and all(
+            (row := self.members.get(member)) is not None and row.boot == boot and row.settled == self.view.number
+            for member, boot in self.view.members
+        )
+
+    def abandoned(self, job: Job) -> list[str]:
+        """Tags whose claims on the job are void. Only valid while all_settled()."""
+        tags = self.view.tags()
+        return [tag for tag in job.progress.claims if tag not in tags]
+
+    def open_tasks(self, job: Job, settled: bool) -> int:
+        """Tasks nobody has claimed. A claim of a departed controller stands until all is settled,
+        since the task may still run on one of its machines."""
+        progress = job.progress
+        taken = progress.done
+        tags = self.view.tags() if settled else None
+        for tag, mask in progress.claims.items():
+            if tags is None or tag in tags:
+                taken |= mask
+        return job.everything & ~taken
+
+    def team_use(self, team: str) -> tuple[float, float]:
+        """Cores and accelerators of every task of the team that may exist."""
+        cores = gpus = 0.0
+        for job in self.jobs.values():
+            if job.spec.team == team and job.progress.claims:
+                count = job.progress.claimed().bit_count()
+                cores += count * job.spec.cores
+                gpus += count * job.spec.gpus
+        return cores, gpus
--- /dev/null
+++ b/sloeswitch/core/yard.py
@@ -0,0 +1,331 @@
+"""The machines of one controller: what they reported, what they were told, and what may be on them.
+
+The rules that keep a task from running twice live here:
+- a machine is *heard* once it reported under the present view's token;
+- a start counts as not carried out only when a later *beat* lacks it: an answer to a beat may still
+  arrive while the reply to a direct command overtakes it;
+- a silent machine's tasks count as existing until its lease is surely over or it is deleted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sloeswitch.core import taskset
+from sloeswitch.core.placement import Room
+from sloeswitch.core.tables import LIVE, Tables
+from sloeswitch.wire import JobSpec, MachineType, Malformed, Order, Report, split_task, task_name
+
+PENDING, RUNNING, ENDED, FETCHING = "pending", "running", "ended", "fetching"
+TASK_STATES = {"fetching", "gathering", "running", "flushing", "ended"}
+
+Task = tuple[str, int]
+
+
+@dataclass
+class Attempt:
+    """One attempt on one machine, from the decision to start it until it is gone."""
+
+    job: str
+    index: int
+    number: int
+    spec: JobSpec
+    state: str = PENDING
+    seen: bool = False
+    sent_serial: int | None = None
+    kill_grace_s: float | None = None
+    placed_at: float = 0.0
+    running_at: float | None = None
+
+    @property
+    def task(self) -> Task:
+        return self.job, self.index
+
+
+@dataclass
+class Machine:
+    """One machine, as its reports tell it."""
+
+    name: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    session: int = 0
+    serial: int = 0
+    # Reports under tokens from here on are ours: we have owned the machine since that view.
+    since_token: int = 0
+    heard: bool = False
+    # Nothing of an earlier owner can be on it any more.
+    accounted: bool = False
+    answered_at: float = float("-inf")
+    heard_at: float = float("-inf")
+    gone_at: float = float("inf")
+    notice_s: float | None = None
+    draining: bool = False
+    idle_since: float | None = None
+    attempts: dict[Task, Attempt] = field(default_factory=dict)
+    # Exited attempts to be cleared: (task name, attempt) -> whether the result is a completion.
+    exited: dict[tuple[str, int], bool] = field(default_factory=dict)
+    # Attempts the worker reports that are not ours to keep.
+    unwanted: dict[tuple[str, int], None] = field(default_factory=dict)
+    images: dict[str, None] = field(default_factory=dict)
+
+    @property
+    def known(self) -> bool:
+        return self.heard or self.accounted
+
+
+@dataclass
+class Heard:
+    """What a report brought to light."""
+
+    fresh: bool = False
+    done: list[tuple[Task, str]] = field(default_factory=list)
+    failed: list[tuple[Task, str]] = field(default_factory=list)
+    adopt: list[Task] = field(default_factory=list)
+    freed: bool = False
+
+
+class Yard:
+    """All machines that this controller owns under the present view."""
+
+    def __init__(self) -> None:
+        self.machines: dict[str, Machine] = {}
+        self.placed: dict[str, int] = {}
+        # Tasks of ours that were on machines which moved to another owner; nowhere else until settled.
+        self.limbo: dict[str, int] = {}
+        self.adopting: dict[str, int] = {}
+
+    # -- ownership
+
+    def reset(self) -> None:
+        """A new run of the controller owns nothing yet."""
+        self.__init__()  # type: ignore[misc]
+
+    def take(self, name: str, address: str, kind: str, zone: str, spot: bool, token: int, gone_at: float) -> Machine:
+        """A machine that is ours from this view on."""
+        machine = Machine(name, address, kind, zone, spot, since_token=token, gone_at=gone_at)
+        self.machines[name] = machine
+        return machine
+
+    def unhear(self, machine: Machine, token: int, gone_at: float) -> None:
+        """The machine may have had another owner in between: what is on it must be heard again."""
+        self._to_limbo(machine)
+        machine.since_token = token
+        machine.heard = machine.accounted = False
+        machine.serial = machine.session = 0
+        machine.gone_at = gone_at
+        machine.exited.clear()
+        machine.unwanted.clear()
+
+    def give_up(self, name: str) -> None:
+        machine = self.machines.pop(name)
+        self._to_limbo(machine)
+
+    def _to_limbo(self, machine: Machine) -> None:
+        for attempt in machine.attempts.values():
+            self.limbo[attempt.job] = self.limbo.get(attempt.job, 0) | 1 << attempt.index
+            self._unplace(attempt)
+        machine.attempts.clear()
+
+    def settled(self, tables: Tables, tag: str) -> bool:
+        """Whether everything of the present view is heard or accounted for, and adoptions are stored."""
+        for machine in self.machines.values():
+            if not machine.known:
+                return False
+        for job, mask in self.adopting.items():
+            record = tables.jobs.get(job)
+            if record is not None and mask & ~record.progress.done & ~record.progress.claims.get(tag, 0):
+                return False
+        self.adopting.clear()
+        return True
+
+    # -- attempts
+
+    def start(self, machine: Machine, job: str, index: int, number: int, spec: JobSpec, now: float) -> None:
+        machine.attempts[(job, index)] = Attempt(job, index, number, spec, placed_at=now)
+        self.placed[job] = self.placed.get(job, 0) | 1 << index
+
+    def _unplace(self, attempt: Attempt) -> None:
+        mask = self.placed.get(attempt.job, 0) & ~(1 << attempt.index)
+        if mask:
+            self.placed[attempt.job] = mask
+        else:
+            self.placed.pop(attempt.job, None)
+
+    def drop(self, machine: Machine, attempt: Attempt) -> None:
+        machine.attempts.pop(attempt.task, None)
+        self._unplace(attempt)
+
+    def lose(self, machine: Machine) -> list[Task]:
+        """All that was on the machine is gone for certain."""
+        lost = list(machine.attempts)
+        for attempt in list(machine.attempts.values()):
+            self.drop(machine, attempt)
+        machine.exited.clear()
+        machine.unwanted.clear()
+        machine.accounted = True
+        machine.heard = False
+        return lost
+
+    def busy_tasks(self, job: str) -> int:
+        """Tasks of the job that are, or may be, somewhere under this controller's responsibility."""
+        return self.placed.get(job, 0) | self.limbo.get(job, 0)
+
+    def waiting(self, job: str, claimed: int, done: int) -> int:
+        """Tasks claimed by this controller that are nowhere: handed back, or not yet placed."""
+        return claimed & ~done & ~self.busy_tasks(job)
+
+    # -- reports
+
+    def hear(self, machine: Machine, report: Report, beat: bool, now: float, token: int, tables: Tables) -> Heard:
+        heard = Heard()
+        if (report.session, report.serial) <= (machine.session, machine.serial):
+            return heard  # a late message: something newer is known
+        if not machine.since_token <= report.token <= token:
+            return heard  # not yet fenced: an earlier owner's answer may still act
+        items: dict[tuple[str, int], tuple[Task, str, str | None]] = {}
+        for item in report.tasks:
+            if item.state not in TASK_STATES:
+                raise Malformed(f"task state {item.state!r}")
+            items[(item.task, item.attempt)] = (split_task(item.task), item.state, item.cause)
+        heard.fresh = True
+        if report.session > machine.session and machine.session:
+            self.lose(machine)
+            heard.freed = True
+        machine.session, machine.serial = report.session, report.serial
+        machine.heard, machine.accounted = True, True
+        machine.heard_at = now
+        machine.notice_s = report.notice_s
+        machine.address = report.address
+        for attempt in list(machine.attempts.values()):
+            found = items.pop((task_name(*attempt.task), attempt.number), None)
+            if found is not None:
+                self._progressed(machine, attempt, found[1], found[2], now, heard)
+            elif attempt.seen:
+                self.drop(machine, attempt)
+                heard.freed = True
+            elif beat and attempt.sent_serial is not None and report.serial > attempt.sent_serial:
+                attempt.sent_serial = None  # the answer that carried it was dropped: tell it again
+                if attempt.kill_grace_s is not None:
+                    self.drop(machine, attempt)
+        for key in list(machine.exited):
+            if key not in items:
+                del machine.exited[key]
+        machine.unwanted.clear()
+        for key, (task, state, cause) in items.items():
+            if key not in machine.exited:
+                self._foreign(machine, key, task, state, cause, tables, heard, now)
+        return heard
+
+    def _progressed(
+        self, machine: Machine, attempt: Attempt, state: str, cause: str | None, now: float, heard: Heard
+    ) -> None:
+        attempt.seen = True
+        attempt.state = state
+        if state == RUNNING and attempt.running_at is None:
+            attempt.running_at = now
+        if state != FETCHING:
+            machine.images.pop(attempt.spec.image, None)
+            machine.images[attempt.spec.image] = None
+        if state != ENDED:
+            return
+        self.drop(machine, attempt)
+        heard.freed = True
+        self._exited(machine, (task_name(*attempt.task), attempt.number), attempt.task, cause, heard)
+
+    def _exited(self, machine: Machine, key: tuple[str, int], task: Task, cause: str | None, heard: Heard) -> None:
+        machine.exited[key] = cause == "done"
+        if cause == "done":
+            heard.done.append((task, machine.name))
+        elif cause in ("error", "no_such"):
+            heard.failed.append((task, machine.name))
+
+    def _foreign(
+        self, machine: Machine, key: tuple[str, int], task: Task, state: str, cause: str | None,
+        tables: Tables, heard: Heard, now: float,
+    ) -> None:  # fmt: skip
+        """A task on the machine that this controller did not start: an earlier owner did."""
+        name, index = task
+        if state == ENDED:
+            self._exited(machine, key, task, cause, heard)
+            return
+        job = tables.jobs.get(name)
+        if job is None or index >= job.spec.tasks or job.progress.done >> index & 1:
+            machine.unwanted[key] = None
+            return
+        if self.placed.get(name, 0) >> index & 1 or not job.progress.claimed() >> index & 1:
+            # Stored claims say that it cannot be here; stop it rather than trust it.
+            machine.unwanted[key] = None
+            return
+        attempt = Attempt(name, index, key[1], job.spec, state, seen=True, placed_at=now)
+        if state == RUNNING:
+            attempt.running_at = now
+        machine.attempts[task] = attempt
+        self.placed[name] = self.placed.get(name, 0) | 1 << index
+        mask = self.limbo.get(name, 0) & ~(1 << index)
+        if mask:
+            self.limbo[name] = mask
+        else:
+            self.limbo.pop(name, None)
+        self.adopting[name] = self.adopting.get(name, 0) | 1 << index
+        heard.adopt.append(task)
+
+    # -- orders
+
+    def orders(self, machine: Machine, tables: Tables, serial: int | None) -> list[Order]:
+        """What to tell the machine. `serial`: of the beat that is answered; None for a direct command,
+        which carries no start, since it could be carried out minutes late."""
+        orders = []
+        for key, completed in machine.exited.items():
+            if not completed or self._stored_done(tables, key[0]):
+                if serial is not None:
+                    orders.append(Order("clear", key[0], key[1]))
+        for key in machine.unwanted:
+            orders.append(Order("kill", key[0], key[1], 0.0))
+        for attempt in list(machine.attempts.values()):
+            name = task_name(*attempt.task)
+            if attempt.kill_grace_s is not None:
+                orders.append(Order("kill", name, attempt.number, attempt.kill_grace_s))
+            elif not attempt.seen and serial is not None:
+                attempt.sent_serial = serial
+                orders.append(Order("start", name, attempt.number))
+        return orders
+
+    @staticmethod
+    def _stored_done(tables: Tables, name: str) -> bool:
+        job, index = split_task(name)
+        record = tables.jobs.get(job)
+        return record is None or record.status != LIVE or bool(record.progress.done >> index & 1)
+
+    def kill(self, machine: Machine, attempt: Attempt, grace_s: float) -> bool:
+        """Marks an attempt to be stopped. True when the machine must be told."""
+        if attempt.sent_serial is None and not attempt.seen:
+            self.drop(machine, attempt)
+            return False
+        if attempt.kill_grace_s is None or grace_s < attempt.kill_grace_s:
+            attempt.kill_grace_s = grace_s
+            return True
+        return False
+
+    # -- room
+
+    def room(self, machine: Machine, kind: MachineType) -> Room:
+        cores, gpus, memory = kind.cores, kind.gpus, kind.memory
+        images = set(machine.images)
+        for attempt in machine.attempts.values():
+            cores -= attempt.spec.cores
+            gpus -= attempt.spec.gpus
+            memory -= attempt.spec.memory
+            images.add(attempt.spec.image)
+        if machine.unwanted:
+            cores = 0.0  # of unknown size; they will be gone soon
+        return Room(machine.name, machine.type, machine.zone, machine.spot, cores, gpus, memory, images)
+
+    def usable(self, machine: Machine) -> bool:
+        return machine.heard and not machine.draining and machine.notice_s is None
+
+
+def tasks_of(mask: int, job: str) -> list[Task]:
+    return [(job, index) for index in taskset.members(mask)]
--- /dev/null
+++ b/sloeswitch/state.py
@@ -0,0 +1,287 @@
+"""The state service: its client, its rate budget, and the replica of what it holds."""
+
+from __future__ import annotations
+
+import enum
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from sloeswitch import wire
+from sloeswitch.core.tables import PREFIX, Tables
+from sloeswitch.http import Client, NoAnswer, Reply
+from sloeswitch.settings import Settings
+
+log = logging.getLogger("state")
+
+
+class Urgency(enum.IntEnum):
+    """Who goes first when the state service's rates are short."""
+
+    LEASE = 0
+    USER = 1
+    CLAIM = 2
+    PROGRESS = 3
+
+
+# Share of a full bucket that a request of each urgency must leave for the more urgent ones.
+RESERVE = {Urgency.LEASE: 0.0, Urgency.USER: 0.1, Urgency.CLAIM: 0.25, Urgency.PROGRESS: 0.4}
+
+
+class Bucket:
+    """A token bucket holding one second's worth, spent by urgency."""
+
+    def __init__(self, rate: float, now: float) -> None:
+        self.rate = rate
+        self.level = rate
+        self.at = now
+
+    def wait_s(self, cost: float, urgency: Urgency, now: float) -> float:
+        """0 after taking the cost; else how long until it can be taken."""
+        self.level = min(self.rate, self.level + (now - self.at) * self.rate)
+        self.at = now
+        # A full bucket always serves, or a cost near its size would wait for ever.
+        need = min(self.rate, cost + RESERVE[urgency] * self.rate)
+        if urgency is Urgency.LEASE or self.level >= need - 1e-9:
+            self.level -= cost
+            return 0.0
+        return (need - self.level) / self.rate
+
+
+class Outcome(enum.Enum):
+    DONE = "done"
+    CONFLICT = "conflict"
+    NO_LEASE = "no lease"
+    REFUSED = "refused"  # certainly not carried out
+    UNKNOWN = "unknown"  # may have been, or may yet be
+
+
+class StateClient:
+    """Requests to the state service within this controller's part of the rates."""
+
+    def __init__(self, settings: Settings, share: Callable[[], int], now: Callable[[], float]) -> None:
+        self.settings = settings
+        self.http = Client(settings.state, most_idle=4)
+        self.watch_http = Client(settings.state, most_idle=1)
+        self.now = now
+        self.share = share
+        # Most answers take under 10 ms, some a few hundred; a lease must outlive two of these waits.
+        self.timeout_s = settings.controller_lease_s / 4
+        self.requests = Bucket(settings.state_rps, now())
+        self.writes = Bucket(settings.state_write_rps, now())
+        self.last_ok = float("-inf")
+        self.failing_since: float | None = None
+
+    def _share_out(self) -> None:
+        parts = max(1, self.share())
+        self.requests.rate = 0.9 * self.settings.state_rps / parts
+        self.writes.rate = 0.9 * self.settings.state_write_rps / parts
+
+    async def _admit(self, bucket: Bucket, cost: float, urgency: Urgency) -> None:
+        self._share_out()
+        while (wait := bucket.wait_s(cost, urgency, self.now())) > 0:
+            await anyio.sleep(wait)
+
+    async def call(self, method: str, path: str, body: bytes | None, urgency: Urgency, hold_s: float = 0.0) -> Reply:
+        """One request; NoAnswer when its result is unknown."""
+        await self._admit(self.requests, 1, urgency)
+        client = self.watch_http if hold_s else self.http
+        try:
+            reply = await client.request(method, path, body, self.timeout_s + hold_s)
+        except NoAnswer:
+            self._failed()
+            raise
+        if reply.status in (429, 503):
+            if reply.status == 503:
+                self._failed()
+        else:
+            self.last_ok = self.now()
+            if self.failing_since is not None:
+                log.info("state service answers again after %.1f s", self.last_ok - self.failing_since)
+                self.failing_since = None
+        return reply
+
+    def _failed(self) -> None:
+        if self.failing_since is None:
+            self.failing_since = self.now()
+            log.info("state service does not answer")
+
+    @property
+    def reachable(self) -> bool:
+        return self.failing_since is None or self.now() - self.failing_since < self.timeout_s
+
+    async def commit(
+        self,
+        conditions: dict[str, int],
+        writes: dict[str, Any],
+        drops: list[str],
+        urgency: Urgency,
+        lease: dict[str, int] | None = None,
+    ) -> tuple[Outcome, int]:
+        """One transaction, and the epoch it was answered at."""
+        body = wire.commit_body(conditions, writes, drops, lease or {})
+        await self._admit(self.writes, len(writes) + len(drops), urgency)
+        try:
+            reply = await self.call("POST", "/multi", body, urgency)
+        except NoAnswer as error:
+            log.debug("transaction without answer: %s", error)
+            return Outcome.UNKNOWN, 0
+        try:
+            if reply.status == 200:
+                return Outcome.DONE, wire.decode(reply.body, wire.Epoch).epoch
+            if reply.status == 409:
+                return Outcome.CONFLICT, wire.decode(reply.body, wire.Epoch).epoch
+        except wire.Malformed as error:
+            log.error("transaction answered with %s", error)
+            return Outcome.UNKNOWN, 0
+        if reply.status == 400:
+            if b"no such lease" in reply.body:
+                return Outcome.NO_LEASE, 0
+            log.error("transaction refused: %s", reply.body[:200])
+        return Outcome.REFUSED, 0
+
+
+class Stale(Exception):
+    """A fresh read could not be had in time."""
+
+
+class Replica:
+    """Owns the tables: keeps them up to date by watching, and serves fresh reads.
+
+    A fresh read is one request for all changes since the last applied epoch, which both says what
+    the present state is and brings the tables there. One serves all who wait for it.
+    """
+
+    def __init__(self, client: StateClient, tables: Tables, now: Callable[[], float]) -> None:
+        self.client = client
+        self.tables = tables
+        self.now = now
+        self.applied = 0
+        self.loaded = False
+        # The tables hold everything the state service held at this time.
+        self.fresh_at = float("-inf")
+        self.changed = anyio.Event()
+        self._reading: anyio.Event | None = None
+        self._next: anyio.Event | None = None
+        self._wanted = anyio.Event()
+        # Watching again at once after each change would use up the request rate.
+        self.gap_s = 8.0 / client.settings.state_rps * client.settings.count / 2
+
+    def start(self, group: TaskGroup) -> None:
+        group.start_soon(self._watch)
+        group.start_soon(self._serve_reads)
+
+    async def fresh(self, timeout_s: float) -> None:
+        """Returns once the tables hold all that was stored when this was called; Stale otherwise."""
+        since = self.now()
+        try:
+            with anyio.fail_after(timeout_s):
+                while self.fresh_at < since:
+                    if self._next is None:
+                        self._next = anyio.Event()
+                    waiter = self._next
+                    self._wanted.set()
+                    await waiter.wait()
+                    if self.fresh_at < since and not self.client.reachable:
+                        raise Stale
+        except TimeoutError:
+            raise Stale from None
+
+    def hint(self) -> None:
+        """Something was stored: read it soon."""
+        self._wanted.set()
+
+    async def wait_change(self, timeout_s: float) -> None:
+        with anyio.move_on_after(timeout_s):
+            await self.changed.wait()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def _serve_reads(self) -> None:
+        while True:
+            await self._wanted.wait()
+            self._wanted = anyio.Event()
+            waiter, self._next = self._next, None
+            try:
+                sent = self.now()
+                if self.loaded:
+                    await self._read_changes(0.0)
+                    self.fresh_at = max(self.fresh_at, sent)
+            except NoAnswer:
+                await anyio.sleep(self.gap_s / 4)
+            finally:
+                if waiter is not None:
+                    waiter.set()
+            await anyio.sleep(0.005)
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                if not self.loaded:
+                    await self._load()
+                await self._read_changes(self.client.settings.lease_s)
+                await anyio.sleep(self.gap_s)
+            except NoAnswer as error:
+                log.debug("watch: %s", error)
+                await anyio.sleep(self.gap_s)
+
+    async def _read_changes(self, hold_s: float) -> None:
+        path = f"/changes?starts={PREFIX}&after={self.applied}&holdMs={int(hold_s * 1000)}"
+        reply = await self.client.call("GET", path, None, Urgency.CLAIM if hold_s else Urgency.USER, hold_s)
+        if reply.status == 410:
+            log.info("changes since %d are no longer kept: reading all again", self.applied)
+            self.loaded = False
+            raise NoAnswer("too old")
+        if reply.status != 200:
+            raise NoAnswer(f"status {reply.status}")
+        try:
+            changes = wire.decode(reply.body, wire.Changes)
+        except wire.Malformed as error:
+            log.error("changes are malformed: %s", error)
+            raise NoAnswer("malformed") from None
+        if not self.loaded:
+            return
+        for event in sorted(changes.events, key=lambda event: event.stamp):
+            if event.stamp <= self.applied:
+                continue
+            if event.write is not None:
+                self.tables.apply(event.write, event.value, event.stamp)
+            elif event.drop is not None:
+                self.tables.apply(event.drop, None, event.stamp)
+        self.applied = max(self.applied, changes.epoch)
+        if changes.events:
+            self._notify()
+
+    async def _load(self) -> None:
+        """Reads everything, page by page; changes made meanwhile follow from the first page's epoch."""
+        first_epoch: int | None = None
+        after = ""
+        rows: list[wire.Row] = []
+        while True:
+            path = f"/kv?starts={PREFIX}&page=1000" + (f"&after={after}" if after else "")
+            reply = await self.client.call("GET", path, None, Urgency.LEASE)
+            if reply.status != 200:
+                raise NoAnswer(f"status {reply.status}")
+            try:
+                page = wire.decode(reply.body, wire.RowPage)
+            except wire.Malformed as error:
+                log.error("rows are malformed: %s", error)
+                raise NoAnswer("malformed") from None
+            if first_epoch is None:
+                first_epoch = page.epoch
+            rows += page.rows
+            if not page.more or not page.rows:
+                break
+            after = page.rows[-1].key
+        self.tables.clear()
+        for row in rows:
+            self.tables.apply(row.key, row.value, row.stamp)
+        self.applied = first_epoch
+        self.loaded = True
+        log.info("read %d stored values at epoch %d", len(rows), first_epoch)
+        self._notify()
