--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import time
 from collections.abc import Callable
@@ -211,10 +212,8 @@
         outcome, _epoch = await self.client.commit(conditions, writes, drops, urgency)
         if outcome is not Outcome.DONE:
             log.debug("stored nothing: %s", outcome.value)
-        try:
+        with contextlib.suppress(Stale):
             await self.replica.fresh(self.client.timeout_s)
-        except Stale:
-            pass
         self._tidy()
         if steal is not None:
             steal.reply(outcome is Outcome.DONE)
@@ -336,7 +335,7 @@
             "t": int(time.time() * 1000),
             "spec": msgspec.to_builtins(spec),
         }
-        outcome, epoch = await self.client.commit({key: 0}, {key: value}, [], Urgency.USER)
+        outcome, _epoch = await self.client.commit({key: 0}, {key: value}, [], Urgency.USER)
         if outcome is Outcome.DONE:
             self.replica.hint()
             return wire.QUEUED, True
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -106,10 +107,8 @@
                     group.start_soon(self._either, group, self.replica.changed)
                     group.start_soon(self._either, group, self.wake)
             self.wake = anyio.Event()
-            try:
+            with contextlib.suppress(Busy):
                 self.tell(Tick())
-            except Busy:
-                pass
             await anyio.sleep(self.pace_s)
 
     @staticmethod
--- a/sloeswitch/actors/membership.py
+++ b/sloeswitch/actors/membership.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -199,7 +200,5 @@
         await self._catch_up()
 
     async def _catch_up(self) -> None:
-        try:
+        with contextlib.suppress(Stale):
             await self.replica.fresh(self.client.timeout_s)
-        except Stale:
-            pass
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -279,9 +279,8 @@
         which carries no start, since it could be carried out minutes late."""
         orders = []
         for key, completed in machine.exited.items():
-            if not completed or self._stored_done(tables, key[0]):
-                if serial is not None:
-                    orders.append(Order("clear", key[0], key[1]))
+            if (not completed or self._stored_done(tables, key[0])) and serial is not None:
+                orders.append(Order("clear", key[0], key[1]))
         for key in machine.unwanted:
             orders.append(Order("kill", key[0], key[1], 0.0))
         for attempt in list(machine.attempts.values()):
