Adoptions hold for one view only

Cause: after a crash the heir adopts the tasks it finds. Ruled out: worker leases, direct commands overtaking answers.

--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -96,13 +96,15 @@
 
     async def rent_forever(self) -> None:
         while True:
-            await anyio.sleep(self.settings.list_lag_s / 10)
+            if self.tables.types:
+                await anyio.sleep(self.settings.list_lag_s / 10)
+            else:
+                await self.replica.wait_change(self.settings.list_lag_s / 10)
             if not self.replica.loaded:
                 continue
             try:
-                if self.standing.coordinating or not self.tables.types:
-                    await self._read_catalog()
                 if self.standing.coordinating:
+                    await self._read_catalog()
                     await self._list()
                     await self._rent()
                 elif self.expected:
@@ -117,8 +119,6 @@
         now = self.now()
         if now - self.catalog_at < 6 * self.settings.list_lag_s and self.types:
             return
-        if not self.standing.coordinating:
-            return
         catalog = await self.cloud.catalog()
         self.catalog_at = now
         self.types = {kind.name: kind for kind in catalog.types}
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -53,10 +53,11 @@
 
 @dataclass
 class Adopt:
-    """Tasks found on a machine that was another controller's."""
+    """Tasks found on a machine that was another controller's and is ours under this view."""
 
     job: str
     tasks: int
+    view: int
 
 
 @dataclass
@@ -76,6 +77,7 @@
     done: int = 0
     released: int = 0
     adopted: int = 0
+    adopted_view: int = 0
     since: float = 0.0
 
 
@@ -108,7 +110,11 @@
         elif isinstance(message, Release):
             self._note(message.job).released |= message.tasks
         elif isinstance(message, Adopt):
-            self._note(message.job).adopted |= message.tasks
+            note = self._note(message.job)
+            if message.view > note.adopted_view:
+                note.adopted, note.adopted_view = 0, message.view
+            if message.view == note.adopted_view:
+                note.adopted |= message.tasks
         elif isinstance(message, Steal):
             if self.steal is not None:
                 self.steal.reply(False)
@@ -165,6 +171,10 @@
         urgency = Urgency.PROGRESS
         names: dict[str, None] = {}
         for name, note in self.unstored.items():
+            # An adoption holds for the view in which the machine was ours. Stored later, it would take
+            # the task back from the machine's new owner, and the task would be started a second time.
+            if note.adopted_view != self.standing.view.number:
+                note.adopted = 0
             if note.adopted:
                 names[name] = None
         for name in steal.wants if steal is not None and acting else ():
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -77,7 +77,6 @@
         self.health = Health(settings.report_s, 20 * settings.lease_s)
         self.boot = 0
         self.seen_view = 0
-        self.seen_members: tuple[tuple[str, int], ...] = ()
         self.counter = 0
         self.stealing = False
         self.registering: set[str] = set()
@@ -141,7 +140,8 @@
             if standing.owner(name) == me and name not in self.yard.machines:
                 self.yard.take(name, row.address, row.type, row.zone, row.spot, view.number, gone_at)
         self.seen_view = view.number
-        self.seen_members = view.members
+        for name, mask in self.yard.still_adopting().items():
+            self.jobs.tell(Adopt(name, mask, view.number))
         log.info("view %d: %d machines are ours, %d of them to be heard", view.number, len(self.yard.machines),
                  sum(not machine.known for machine in self.yard.machines.values()))  # fmt: skip
 
@@ -205,7 +205,7 @@
             if not was and self.health.machine_faulty(name):
                 log.info("%s fails what it is given: no more work for it", name)
         for job, index in heard.adopt:
-            self.jobs.tell(Adopt(job, 1 << index))
+            self.jobs.tell(Adopt(job, 1 << index, self.seen_view))
         if heard.freed or heard.done:
             self.wake.set()
 
--- a/sloeswitch/actors/membership.py
+++ b/sloeswitch/actors/membership.py
@@ -108,6 +108,8 @@
     async def keep_lease(self) -> None:
         """Renews the lease and reads the view afresh, four times in a lease's span."""
         while True:
+            while not self.replica.loaded:
+                await self.replica.wait_change(self.settings.controller_lease_s / 4)
             started = self.client.now()
             try:
                 await self._renew()
@@ -130,8 +132,6 @@
             # Others may already have acted on our absence: whatever was ours is so no more.
             log.info("lease %d is over: joining anew", standing.boot)
             standing.boot = 0
-        if not self.replica.loaded:
-            return
         sent = self.client.now()
         body = wire.encode({"lifeMs": int(self.settings.controller_lease_s * 1000)})
         reply = await self.client.call("POST", "/grants", body, Urgency.LEASE)
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -141,6 +141,12 @@
         self.adopting.clear()
         return True
 
+    def still_adopting(self) -> dict[str, int]:
+        """Adoptions not yet known to be stored, of tasks that are still on our machines."""
+        kept = {job: mask & self.placed.get(job, 0) for job, mask in self.adopting.items()}
+        self.adopting = {job: mask for job, mask in kept.items() if mask}
+        return self.adopting
+
     # -- attempts
 
     def start(self, machine: Machine, job: str, index: int, number: int, spec: JobSpec, now: float) -> None:
--- a/sloeswitch/settings.py
+++ b/sloeswitch/settings.py
@@ -111,9 +111,9 @@
 
     def number(self, table: dict[str, Any], key: str, where: str, least: float = 0.0) -> float:
         value = table.get(key)
-        if isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value):
-            if value >= least:
-                return float(value)
+        plain = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if plain and math.isfinite(value) and value >= least:
+            return float(value)
         self.faults.append(f"{where}{key}: must be a number of at least {least:g}, is {value!r}")
         return max(least, 1.0)
 
