--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -31,9 +31,13 @@
 
 @dataclass
 class Steal(Ask):
-    """Claim so many tasks of these jobs. Answered when the claims are in the tables, or not to be had."""
+    """Claim so many tasks of these jobs, and ask for these allowances of teams. Answered when that is
+    in the tables, or not to be had."""
 
     wants: dict[str, int] = field(default_factory=dict)
+    grow: dict[str, tuple[float, float]] = field(default_factory=dict)
+    # Smaller allowances, each with the stamp of the stored ones that the asker went by.
+    shrink: dict[str, tuple[int, float, float]] = field(default_factory=dict)
     zones: dict[str, str] = field(default_factory=dict)
 
 
@@ -98,8 +102,10 @@
         self.unstored: dict[str, Unstored] = {}
         self.steal: Steal | None = None
         self.wake = anyio.Event()
-        # Completions wait this long for company: users may learn of them within 3 s (protocol).
-        self.batch_s = 0.6
+        # A job's last completions wait this long for company; users expect them within 3 s (protocol).
+        self.batch_s = 0.3
+        # Others wait longer: until they are stored the worker reports them again to whoever asks.
+        self.lazy_s = 0.4 * settings.lease_s
         self.largest = int(settings.value_kb * 1024 * 0.9)
 
     # -- messages
@@ -140,7 +146,7 @@
 
     async def store_forever(self) -> None:
         while True:
-            with anyio.move_on_after(self.batch_s / 2):
+            with anyio.move_on_after(self.batch_s):
                 await self.wake.wait()
             self.wake = anyio.Event()
             try:
@@ -179,40 +185,68 @@
                 names[name] = None
         for name in steal.wants if steal is not None and acting else ():
             names[name] = None
-        due = self.now() - self.batch_s
+        now = self.now()
         for name, note in self.unstored.items():
-            if note.since <= due or self._completes(name, note):
+            if now - note.since >= (self.batch_s if self._runs_dry(name, note) else self.lazy_s):
                 names[name] = None
         for name, candidate in self.tables.jobs.items():
             if candidate.status == WITHDRAWN and self._withdrawn_over(candidate, settled):
                 names[name] = None
-        teams: dict[str, list[float]] = {}
+        teams: dict[str, dict[str, tuple[float, float]]] = {}
         room = self.settings.txn_ops
+        if steal is not None and acting:
+            tag = self.standing.tag
+            for team, wanted in steal.grow.items():
+                limit = self.settings.teams[team]
+                held = self._held(teams, team, settled)
+                # An adoption may have raised it since; only the asker knows when less will do.
+                mine = held.get(tag, (0.0, 0.0))
+                more = max(wanted[0], mine[0]), max(wanted[1], mine[1])
+                teams[team] = quota.reallot(held, (limit.cpus_max, limit.gpus_max), tag, more)
+            for team, (stamp, cores, gpus) in steal.shrink.items():
+                if stamp == self.tables.stamp(t.team_key(team)):
+                    held = self._held(teams, team, settled)
+                    mine = held.get(tag, (0.0, 0.0))
+                    held[tag] = min(mine[0], cores), min(mine[1], gpus)
+                    teams[team] = held
+            room -= len(teams)
         for name in names:
             job = self.tables.jobs.get(name)
             if job is None:
                 continue
             want = steal.wants.get(name, 0) if steal is not None and acting else 0
             team = job.spec.team
-            cost = 2 + (1 if want and t.team_key(team) not in writes else 0)
+            adopting = name in self.unstored and self.unstored[name].adopted
+            cost = 2 + (1 if adopting and team not in teams else 0)
             if len(writes) + len(drops) + cost > room:
                 break
+            if adopting:
+                # The task's part of the limit comes with it, in the same transaction.
+                room -= team not in teams
+                held = self._held(teams, team, settled)
+                for holder, mask in job.progress.claims.items():
+                    if holder != self.standing.tag and mask & adopting:
+                        count = (mask & adopting).bit_count()
+                        held = quota.move(held, holder, self.standing.tag, job.spec, count)
+                teams[team] = held
             voiding = settled and acting and bool(self.tables.abandoned(job))
             progress = self._updated(job, voiding)
             if voiding:
                 claimed = True  # relies on the view
-            gained = 0
+            gained = False
             if want and job.status == LIVE:
-                gained = self._claim(job, progress, want, settled, teams, steal)
-            if gained:
+                gained = self._claim(job, progress, want, steal)
+            if gained or adopting:
                 claimed = True
                 urgency = Urgency.CLAIM
-                writes[t.team_key(team)] = {}
+            self._put(job, progress, conditions, writes, drops)
+        for team, held in teams.items():
+            value = {tag: list(amounts) for tag, amounts in held.items() if amounts[0] > 0 or amounts[1] > 0}
+            if held != self.tables.allowances.get(team, {}):
+                writes[t.team_key(team)] = value
                 conditions[t.team_key(team)] = self.tables.stamp(t.team_key(team))
-            if name in self.unstored and self.unstored[name].adopted:
                 claimed = True
                 urgency = Urgency.CLAIM
-            self._put(job, progress, conditions, writes, drops)
         if not writes and not drops:
             if steal is not None:
                 steal.reply(False)
@@ -230,9 +264,26 @@
         if outcome in (Outcome.UNKNOWN, Outcome.REFUSED):
             await anyio.sleep(self.batch_s / 2)
 
-    def _completes(self, name: str, note: Unstored) -> bool:
+    def _held(
+        self, teams: dict[str, dict[str, tuple[float, float]]], team: str, settled: bool
+    ) -> dict[str, tuple[float, float]]:
+        """The team's allowances so far in this round, those of departed controllers left out once no
+        task that they covered can exist."""
+        if team in teams:
+            return teams[team]
+        held = self.tables.allowances.get(team, {})
+        if not settled:
+            return dict(held)
+        tags = self.tables.view.tags()
+        return {tag: amounts for tag, amounts in held.items() if tag in tags}
+
+    def _runs_dry(self, name: str, note: Unstored) -> bool:
+        """Whether this controller has nothing of the job left to do, so that others may wait for it."""
         job = self.tables.jobs.get(name)
-        return job is not None and note.done | job.progress.done == job.everything
+        if job is None:
+            return False
+        mine = job.progress.claims.get(self.standing.tag, 0)
+        return not mine & ~(note.done | note.released) or bool(note.released)
 
     def _withdrawn_over(self, job: Job, settled: bool) -> bool:
         """Whether a cancelled job has no task left that may exist. The coordinator puts those away
@@ -263,32 +314,21 @@
         progress.claims = {holder: mask for holder, mask in progress.claims.items() if mask}
         return progress
 
-    def _claim(
-        self, job: Job, progress: Progress, want: int, settled: bool, teams: dict[str, list[float]],
-        steal: Steal | None,
-    ) -> int:  # fmt: skip
+    def _claim(self, job: Job, progress: Progress, want: int, steal: Steal | None) -> bool:
         spec = job.spec
-        team = self.settings.teams.get(spec.team)
-        if team is None:
-            return 0
-        used = teams.get(spec.team)
-        if used is None:
-            used = teams[spec.team] = list(self.tables.team_use(spec.team))
-        free = job.everything & ~progress.done & ~progress.claimed()
-        count = min(want, quota.most_tasks(team, spec, used[0], used[1]))
-        if spec.gang and count < free.bit_count():
-            return 0
-        gained = taskset.lowest(free, count)
+        note = self.unstored.get(spec.id)
+        # What is being released is for others to take.
+        free = job.everything & ~progress.done & ~progress.claimed() & ~(note.released if note else 0)
+        if spec.gang and want < free.bit_count():
+            return False
+        gained = taskset.lowest(free, want)
         if not gained:
-            return 0
+            return False
         tag = self.standing.tag
         progress.claims[tag] = progress.claims.get(tag, 0) | gained
-        if steal is not None and spec.id in steal.zones and (progress.zone is None or progress.claims.keys() == {tag}):
-            progress.zone = progress.zone or steal.zones[spec.id]
-        number = gained.bit_count()
-        used[0] += number * spec.cores
-        used[1] += number * spec.gpus
-        return number
+        if steal is not None and spec.id in steal.zones and progress.zone is None:
+            progress.zone = steal.zones[spec.id]
+        return True
 
     def _put(
         self, job: Job, progress: Progress, conditions: dict[str, int], writes: dict[str, Any], drops: list[str]
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -26,7 +26,7 @@
 from sloeswitch.core.tables import LIVE, Job, Tables
 from sloeswitch.core.yard import RUNNING, Heard, Machine, Yard
 from sloeswitch.http import Answer, Client, NoAnswer, refuse
-from sloeswitch.settings import Address, Settings
+from sloeswitch.settings import Address, Settings, Team
 from sloeswitch.state import Outcome, Replica, StateClient, Urgency
 
 log = logging.getLogger("machines")
@@ -84,7 +84,12 @@
         self.probe_failed: dict[str, int] = {}
         self.waiting_since: dict[str, float] = {}
         self.wake = anyio.Event()
+        # Smaller allowances being stored: team -> (stamp it relies on, cores, gpus).
+        self.shrinking: dict[str, tuple[int, float, float]] = {}
+        self.surplus_since: dict[str, float] = {}
         self.pace_s = settings.report_s / 10
+        # Work is claimed about this long before it can start.
+        self.ahead_s = 0.2 * settings.lease_s
 
     # -- messages
 
@@ -123,6 +128,8 @@
             self.boot = standing.boot
             self.seen_view = 0
             self.yard.reset()
+            self.shrinking.clear()
+            self.surplus_since.clear()
             self.jobs.forget()
         if not standing.included or standing.view.number == self.seen_view:
             return
@@ -224,6 +231,7 @@
         self._stop_cancelled()
         if self.tables.all_settled():
             self.yard.limbo.clear()
+        self.yard.prune_limbo(self.tables, standing.tag)
         if standing.may_answer:
             self._place_waiting()
         if standing.may_act:
@@ -400,6 +408,7 @@
     def _place_waiting(self, only: Machine | None = None) -> None:
         """Puts claimed work on machines; work that came back stands before anything newly claimed."""
         rooms: list[placement.Room] | None = None
+        uses: dict[str, quota.Use] = {}
         now = self.now()
         for job in ready.order(self.tables, self.settings.teams):
             waiting = self._waiting(job)
@@ -409,17 +418,23 @@
                 continue
             if rooms is None:
                 rooms = self._rooms(only)
+                uses = self._uses()
             if not self.health.paused(name, now):
-                self._place(job, waiting, rooms, now, only)
+                self._place(job, waiting, rooms, uses, now, only)
             left = self._waiting(job)
             if only is None and left:
                 since = self.waiting_since.setdefault(name, now)
-                if now - since > 2 * self.settings.report_s and self.standing.may_act:
+                if now - since > self.ahead_s + 2 * self.settings.report_s and self.standing.may_act:
                     self.jobs.tell(Release(name, left))
                     del self.waiting_since[name]
 
-    def _place(self, job: Job, tasks: int, rooms: list[placement.Room], now: float, only: Machine | None) -> None:
+    def _place(
+        self, job: Job, tasks: int, rooms: list[placement.Room], uses: dict[str, quota.Use], now: float,
+        only: Machine | None,
+    ) -> None:  # fmt: skip
         name = job.spec.id
+        team = job.spec.team
+        tasks = taskset.lowest(tasks, quota.room_for(job.spec, self._allowance(team), uses[team]))
         if self.health.job_faulty(name):
             tasks = taskset.lowest(tasks, 1)
         usable = [room for room in rooms if not self.health.avoid(name, room.machine)]
@@ -432,6 +447,8 @@
         placed = placement.place(job, tasks, usable)
         if not placed:
             return
+        uses[team].add(job.spec, len(placed))
+        self.waiting_since[name] = now
         number = self._number()
         for index, room in placed:
             self.yard.start(self.yard.machines[room.machine], name, index, number, job.spec, now)
@@ -444,50 +461,101 @@
         position = tags.index(self.settings.member)
         return (self.standing.view.number << 28) + (position << 24) + self.counter % (1 << 24)
 
+    def _uses(self) -> dict[str, quota.Use]:
+        """What tasks that may exist under this controller's responsibility use, by team."""
+        uses = {team: quota.Use() for team in self.settings.teams}
+        for machine in self.yard.machines.values():
+            for attempt in machine.attempts.values():
+                if attempt.spec.team in uses:
+                    uses[attempt.spec.team].add(attempt.spec)
+        for name, mask in self.yard.limbo.items():
+            job = self.tables.jobs.get(name)
+            if job is not None and job.spec.team in uses:
+                uses[job.spec.team].add(job.spec, mask.bit_count())
+        return uses
+
+    def _allowance(self, team: str) -> tuple[float, float]:
+        """What may be used now: the stored allowance, or less while a smaller one is being stored."""
+        cores, gpus = self.tables.allowance(team, self.standing.tag)
+        shrinking = self.shrinking.get(team)
+        if shrinking is not None:
+            # A write without an answer may be carried out until another one makes its condition false.
+            if shrinking[0] == self.tables.stamp(t.team_key(team)):
+                return min(cores, shrinking[1]), min(gpus, shrinking[2])
+            del self.shrinking[team]
+        return cores, gpus
+
     def _steal(self) -> None:
         if self.stealing or self.replica.client.failing_since is not None:
             return
-        rooms = self._rooms()
-        if not rooms:
-            return
         settled = self.tables.all_settled()
         now = self.now()
+        rooms = self._rooms()
+        uses = self._uses()
         wants: dict[str, int] = {}
         zones: dict[str, str] = {}
-        used: dict[str, tuple[float, float]] = {}
+        # What each team could put to use on these machines: what runs, what waits, and what is open.
+        useful = {team: quota.Use(use.cores, use.gpus) for team, use in uses.items()}
+        spare = {team.name: self._spare(team, uses[team.name]) for team in self.settings.teams.values()}
         for job in ready.order(self.tables, self.settings.teams):
             spec = job.spec
             name = spec.id
-            open_tasks = self.tables.open_tasks(job, settled)
-            if not open_tasks or self.health.paused(name, now):
+            if spec.team not in useful:
                 continue
-            team = self.settings.teams.get(spec.team)
-            if team is None:
+            waiting = self._waiting(job).bit_count()
+            open_tasks = self.tables.open_tasks(job, settled)
+            if not (open_tasks or waiting) or self.health.paused(name, now):
                 continue
-            if spec.team not in used:
-                used[spec.team] = self.tables.team_use(spec.team)
-            cores, gpus = used[spec.team]
-            count = min(open_tasks.bit_count(), quota.most_tasks(team, spec, cores, gpus))
+            count = open_tasks.bit_count() + waiting
             if self.health.job_faulty(name):
                 count = min(count, 1)
+            count = min(count, quota.room_for(spec, spare[spec.team], useful[spec.team]))
             if count == 0 or (spec.gang and count < spec.tasks):
                 continue
             usable = [room for room in rooms if not self.health.avoid(name, room.machine)]
             if (spec.one_zone or spec.spread) and job.progress.zone is None and usable:
                 zones[name] = max(usable, key=lambda room: room.count(spec)).zone
             trial = [placement.Room(**vars(room)) for room in usable] if spec.gang else usable
-            placed = placement.place(job, taskset.lowest(open_tasks, count), trial)
+            tasks = taskset.lowest(open_tasks, max(0, count - waiting)) | taskset.lowest(self._waiting(job), count)
+            placed = placement.place(job, tasks, trial)
             if spec.gang and len(placed) < spec.tasks:
                 continue
-            if placed:
-                wants[name] = len(placed)
-                used[spec.team] = (cores + len(placed) * spec.cores, gpus + len(placed) * spec.gpus)
-            if len(wants) >= self.settings.txn_ops // 2:
-                break
-        if wants:
+            useful[spec.team].add(spec, len(placed))
+            # Some tasks are claimed ahead, so that a machine which reports a completion gets the next
+            # task with the answer instead of after a write.
+            running = self.placed_count(name)
+            ahead = 0 if spec.gang else round(running * self.ahead_s / max(spec.estimate_s, self.ahead_s))
+            want = min(open_tasks.bit_count(), max(0, len(placed) + ahead - waiting))
+            if want and (len(placed) > waiting or 2 * waiting < ahead) and len(wants) < self.settings.txn_ops // 2:
+                wants[name] = want
+        grow: dict[str, tuple[float, float]] = {}
+        shrink: dict[str, tuple[int, float, float]] = {}
+        for team, use in useful.items():
+            held = self._allowance(team)
+            if use.cores > held[0] + quota.SLACK or use.gpus > held[1] + quota.SLACK:
+                grow[team] = (max(use.cores, held[0]), max(use.gpus, held[1]))
+                self.surplus_since.pop(team, None)
+            elif use.cores < held[0] - quota.SLACK or use.gpus < held[1] - quota.SLACK:
+                # Returned after a while: the next job of the team is likely to want it again.
+                if now - self.surplus_since.setdefault(team, now) > 2 * self.settings.report_s:
+                    shrink[team] = (self.tables.stamp(t.team_key(team)), use.cores, use.gpus)
+                    self.shrinking[team] = shrink[team]
+                    del self.surplus_since[team]
+            else:
+                self.surplus_since.pop(team, None)
+        if wants or grow or shrink:
             self.stealing = True
             assert self.group is not None
-            self.group.start_soon(self._ask_for, Steal(wants=wants, zones=zones))
+            self.group.start_soon(self._ask_for, Steal(wants=wants, zones=zones, grow=grow, shrink=shrink))
+
+    def _spare(self, team: Team, use: quota.Use) -> tuple[float, float]:
+        """The most that this controller could be allowed now: its allowance and what nobody holds."""
+        cores, gpus = self._allowance(team.name)
+        more_cores, more_gpus = self.tables.unallotted(team)
+        return max(cores + more_cores, use.cores), max(gpus + more_gpus, use.gpus)
+
+    def placed_count(self, job: str) -> int:
+        return self.yard.placed.get(job, 0).bit_count()
 
     async def _ask_for(self, steal: Steal) -> None:
         try:
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -8,7 +8,7 @@
     catalog    {...}                 machine types, as the cloud last told them
     j/JOB      {"s", "n", ...}       a job: "live", "done" or "withdrawn"; the spec until it is over
     r/JOB      {"d", "c", "z"}       its progress: done tasks, claims by controller, zone
-    q/TEAM     {}                    turnstile: written by every claim of the team's limit
+    q/TEAM     {TAG: [cores, gpus]}  the team's limit, as allowances of the controllers
     h/MACHINE  {"a", "t", "z", "s"}  a machine that may hold tasks
 """
 
@@ -21,6 +21,7 @@
 import msgspec
 
 from sloeswitch.core import taskset
+from sloeswitch.settings import Team
 from sloeswitch.wire import Catalog, JobSpec, MachineType
 
 log = logging.getLogger("tables")
@@ -161,6 +162,7 @@
         self.over: dict[str, tuple[str, int]] = {}
         self.machines: dict[str, MachineRow] = {}
         self.deleted: set[str] = set()
+        self.allowances: dict[str, dict[str, tuple[float, float]]] = {}
         self._early: dict[str, tuple[Progress, int]] = {}
 
     def stamp(self, key: str) -> int:
@@ -198,6 +200,8 @@
             else:
                 self.machines[rest] = MachineRow(value["a"], value["t"], value["z"], value["s"])
                 self.deleted.discard(rest)
+        elif kind == "q":
+            self.allowances[rest] = {tag: (cores, gpus) for tag, (cores, gpus) in (value or {}).items()}
         elif kind == "m":
             if value is None:
                 self.members.pop(rest, None)
@@ -264,12 +268,14 @@
                 taken |= mask
         return job.everything & ~taken
 
-    def team_use(self, team: str) -> tuple[float, float]:
-        """Cores and accelerators of every task of the team that may exist."""
-        cores = gpus = 0.0
-        for job in self.jobs.values():
-            if job.spec.team == team and job.progress.claims:
-                count = job.progress.claimed().bit_count()
-                cores += count * job.spec.cores
-                gpus += count * job.spec.gpus
-        return cores, gpus
+    def allowance(self, team: str, tag: str) -> tuple[float, float]:
+        """What tasks of the team on this controller's machines may use together."""
+        return self.allowances.get(team, {}).get(tag, (0.0, 0.0))
+
+    def unallotted(self, team: Team) -> tuple[float, float]:
+        """What is left of the team's limit for any controller to take."""
+        held = self.allowances.get(team.name, {}).values()
+        return (
+            team.cpus_max - sum(cores for cores, _ in held),
+            team.gpus_max - sum(gpus for _, gpus in held),
+        )
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -147,6 +147,16 @@
         self.adopting = {job: mask for job, mask in kept.items() if mask}
         return self.adopting
 
+    def prune_limbo(self, tables: Tables, tag: str) -> None:
+        """Tasks that a new owner adopted or saw done are out of our hands, their allowance too."""
+        for name in list(self.limbo):
+            job = tables.jobs.get(name)
+            mask = self.limbo[name] & job.progress.claims.get(tag, 0) if job is not None else 0
+            if mask:
+                self.limbo[name] = mask
+            else:
+                del self.limbo[name]
+
     # -- attempts
 
     def start(self, machine: Machine, job: str, index: int, number: int, spec: JobSpec, now: float) -> None:
--- a/sloeswitch/settings.py
+++ b/sloeswitch/settings.py
@@ -111,8 +111,7 @@
 
     def number(self, table: dict[str, Any], key: str, where: str, least: float = 0.0) -> float:
         value = table.get(key)
-        plain = isinstance(value, (int, float)) and not isinstance(value, bool)
-        if plain and math.isfinite(value) and value >= least:
+        if isinstance(value, (int, float)) and not isinstance(value, bool) and least <= value < math.inf:
             return float(value)
         self.faults.append(f"{where}{key}: must be a number of at least {least:g}, is {value!r}")
         return max(least, 1.0)
