--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -162,36 +162,30 @@
                 steal.reply(False)
             return
         acting = self.standing.may_act
+        names = self._due(steal if acting else None)
+        cost = len(names) + (len(steal.grow) + len(steal.shrink) if steal is not None and acting else 0)
+        if not cost:
+            if steal is not None:
+                steal.reply(False)
+            return
+        urgency = Urgency.PROGRESS if steal is None else Urgency.CLAIM
+        # The rate first, then the freshest tables: conditions that wait for their turn grow stale, and a
+        # transaction that fails on them costs as much as one that does not.
+        paid = min(cost, self.settings.txn_ops)
+        await self.client.pay(paid, urgency)
         if steal is not None and acting:
             try:
-                # Stale tables make conflicts, and those cost writes too.
                 await self.replica.fresh(self.client.timeout_s)
             except Stale:
                 acting = False
         self._tidy()
+        acting = acting and self.standing.may_act
+        names = self._due(steal if acting else None)
         settled = self.tables.all_settled()
         conditions: dict[str, int] = {}
         writes: dict[str, Any] = {}
         drops: list[str] = []
         claimed = False
-        urgency = Urgency.PROGRESS
-        names: dict[str, None] = {}
-        for name, note in self.unstored.items():
-            # An adoption holds for the view in which the machine was ours. Stored later, it would take
-            # the task back from the machine's new owner, and the task would be started a second time.
-            if note.adopted_view != self.standing.view.number:
-                note.adopted = 0
-            if note.adopted:
-                names[name] = None
-        for name in steal.wants if steal is not None and acting else ():
-            names[name] = None
-        now = self.now()
-        for name, note in self.unstored.items():
-            if now - note.since >= (self.batch_s if self._runs_dry(name, note) else self.lazy_s):
-                names[name] = None
-        for name, candidate in self.tables.jobs.items():
-            if candidate.status == WITHDRAWN and self._withdrawn_over(candidate, settled):
-                names[name] = None
         teams: dict[str, dict[str, tuple[float, float]]] = {}
         room = self.settings.txn_ops
         if steal is not None and acting:
@@ -238,7 +232,6 @@
                 gained = self._claim(job, progress, want, steal)
             if gained or adopting:
                 claimed = True
-                urgency = Urgency.CLAIM
             self._put(job, progress, conditions, writes, drops)
         for team, held in teams.items():
             value = {tag: list(amounts) for tag, amounts in held.items() if amounts[0] > 0 or amounts[1] > 0}
@@ -246,16 +239,15 @@
                 writes[t.team_key(team)] = value
                 conditions[t.team_key(team)] = self.tables.stamp(t.team_key(team))
                 claimed = True
-                urgency = Urgency.CLAIM
         if not writes and not drops:
             if steal is not None:
                 steal.reply(False)
             return
         if claimed:
             conditions.update(self.standing.claim_conditions())
-        outcome, _epoch = await self.client.commit(conditions, writes, drops, urgency)
+        outcome, _epoch = await self.client.commit(conditions, writes, drops, urgency, paid=paid)
         if outcome is not Outcome.DONE:
-            log.debug("stored nothing: %s", outcome.value)
+            log.debug("stored nothing of %d values: %s", len(conditions), outcome.value)
         with contextlib.suppress(Stale):
             await self.replica.fresh(self.client.timeout_s)
         self._tidy()
@@ -264,6 +256,28 @@
         if outcome in (Outcome.UNKNOWN, Outcome.REFUSED):
             await anyio.sleep(self.batch_s / 2)
 
+    def _due(self, steal: Steal | None) -> list[str]:
+        """Jobs to be written in this round, the most urgent first."""
+        names: dict[str, None] = {}
+        for name, note in self.unstored.items():
+            # An adoption holds for the view in which the machine was ours. Stored later, it would take
+            # the task back from the machine's new owner, and the task would be started a second time.
+            if note.adopted_view != self.standing.view.number or not self.standing.included:
+                note.adopted = 0
+            if note.adopted:
+                names[name] = None
+        if steal is not None:
+            names.update(dict.fromkeys(steal.wants))
+        now = self.now()
+        for name, note in self.unstored.items():
+            if now - note.since >= (self.batch_s if self._runs_dry(name, note) else self.lazy_s):
+                names[name] = None
+        settled = self.tables.all_settled()
+        for name, job in self.tables.jobs.items():
+            if job.status == WITHDRAWN and self._withdrawn_over(job, settled):
+                names[name] = None
+        return list(names)
+
     def _held(
         self, teams: dict[str, dict[str, tuple[float, float]]], team: str, settled: bool
     ) -> dict[str, tuple[float, float]]:
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -497,7 +497,9 @@
         # What each team could put to use on these machines: what runs, what waits, and what is open.
         useful = {team: quota.Use(use.cores, use.gpus) for team, use in uses.items()}
         spare = {team.name: self._spare(team, uses[team.name]) for team in self.settings.teams.values()}
-        for job in ready.order(self.tables, self.settings.teams):
+        members = [member for member, _ in self.standing.view.members]
+        turn = members.index(self.settings.member)
+        for job in ready.rotated(ready.order(self.tables, self.settings.teams), len(members), turn):
             spec = job.spec
             name = spec.id
             if spec.team not in useful:
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -30,3 +30,14 @@
         keyed.append(((RANK[spec.priority], not guaranteed, job.born), job))
     keyed.sort(key=lambda pair: pair[0])
     return [job for _, job in keyed]
+
+
+def rotated(jobs: list[Job], parts: int, turn: int) -> list[Job]:
+    """The order in which one of `parts` controllers claims: the oldest jobs are dealt out, so that the
+    controllers do not all write the same one. Nobody's turn at a job moves by more than `parts` places."""
+    dealt: list[Job] = []
+    for start in range(0, len(jobs), parts):
+        chunk = jobs[start : start + parts]
+        shift = turn % len(chunk)
+        dealt += chunk[shift:] + chunk[:shift]
+    return dealt
--- a/sloeswitch/state.py
+++ b/sloeswitch/state.py
@@ -85,6 +85,10 @@
         while (wait := bucket.wait_s(cost, urgency, self.now())) > 0:
             await anyio.sleep(wait)
 
+    async def pay(self, changes: int, urgency: Urgency) -> None:
+        """Waits for the right to make so many changes, for a commit whose content follows."""
+        await self._admit(self.writes, changes, urgency)
+
     async def call(self, method: str, path: str, body: bytes | None, urgency: Urgency, hold_s: float = 0.0) -> Reply:
         """One request; NoAnswer when its result is unknown."""
         await self._admit(self.requests, 1, urgency)
@@ -120,10 +124,14 @@
         drops: list[str],
         urgency: Urgency,
         lease: dict[str, int] | None = None,
+        paid: int = 0,
     ) -> tuple[Outcome, int]:
-        """One transaction, and the epoch it was answered at."""
+        """One transaction, and the epoch it was answered at. `paid`: see pay()."""
         body = wire.commit_body(conditions, writes, drops, lease or {})
-        await self._admit(self.writes, len(writes) + len(drops), urgency)
+        if paid:
+            self.writes.level += paid - len(writes) - len(drops)
+        else:
+            await self.pay(len(writes) + len(drops), urgency)
         try:
             reply = await self.call("POST", "/multi", body, urgency)
         except NoAnswer as error:
