--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -206,6 +206,7 @@
             if item.state not in TASK_STATES:
                 raise Malformed(f"task state {item.state!r}")
             items[(item.task, item.attempt)] = (split_task(item.task), item.state, item.cause)
+        reported = set(items)
         heard.fresh = True
         if report.session > machine.session and machine.session:
             self.lose(machine)
@@ -227,7 +228,7 @@
                 if attempt.kill_grace_s is not None:
                     self.drop(machine, attempt)
         for key in list(machine.exited):
-            if key not in items:
+            if key not in reported:
                 del machine.exited[key]
         machine.unwanted.clear()
         for key, (task, state, cause) in items.items():
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,137 @@
+"""Builders shared by the tests: a job, a machine's report, stored tables. No clock, no network."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from sloeswitch import wire
+from sloeswitch.core import tables as t
+from sloeswitch.settings import Settings, parse
+
+SETTINGS = """
+member = "c0"
+zone = "a"
+bind = "127.0.0.1:8080"
+mesh_addr = "127.0.0.1:8081"
+[[siblings]]
+member = "c1"
+zone = "b"
+address = "127.0.0.1:8082"
+[outside]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[deployment]
+count = 2
+zones = ["a", "b"]
+clock_error_ms = 100.0
+[[deployment.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 20.0
+gpus = 0.0
+gpus_max = 0.0
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 30.0
+[deployment.state]
+rps = 100.0
+write_rps = 20.0
+value_kb = 16.0
+txn_ops = 12
+[deployment.cloud]
+rps = 1.0
+list_lag_s = 10.0
+[deployment.machine_limits]
+cores = 0.5
+memory_mb = 200.0
+fd_limit = 500
+"""
+
+
+@pytest.fixture
+def settings() -> Settings:
+    return parse(SETTINGS)
+
+
+def submission(name: str = "wk-000001", **changes: Any) -> dict[str, Any]:
+    """A submission as a user sends it."""
+    body: dict[str, Any] = {
+        "id": name,
+        "roster": "train",
+        "crew": "red",
+        "shape": "sweep",
+        "urgency": "standard",
+        "visits": 4,
+        "cores": 2.0,
+        "accelerators": 0,
+        "memoryGb": 1.0,
+        "kit": "img-1",
+        "pullGb": 1.0,
+        "builds": None,
+        "district": None,
+        "together": False,
+        "spread": False,
+        "loaners": True,
+        "expectedS": 40.0,
+        "snapshotS": 0.0,
+        "stashS": 0.0,
+    }
+    body.update(changes)
+    return {key: value for key, value in body.items() if value is not ...}
+
+
+def spec(name: str = "wk-000001", **changes: Any) -> wire.JobSpec:
+    return wire.check_spec(wire.decode(wire.encode(submission(name, **changes)), wire.JobSpec))
+
+
+def report(serial: int, token: int, *tasks: tuple[Any, ...], session: int = 1, name: str = "vm-1") -> wire.Report:
+    """A machine's report; tasks are (name, attempt, state) or (name, attempt, "ended", cause)."""
+    items = [wire.ReportedTask(*item) for item in tasks]
+    return wire.Report(name, "127.0.0.1:9000", "small", "a", True, session, serial, token, items)
+
+
+MACHINE_TYPE = wire.MachineType("small", 8.0, 0.0, 16.0, 50.0, 0.5, 0.4, 0.1, 25.0, ["a", "b"])
+
+
+class Store:
+    """Stored values with stamps, played into tables as a watch would."""
+
+    def __init__(self) -> None:
+        self.epoch = 0
+        self.tables = t.Tables()
+
+    def put(self, key: str, value: Any) -> int:
+        self.epoch += 1
+        self.tables.apply(key, value, self.epoch)
+        return self.epoch
+
+    def job(self, job: wire.JobSpec, status: str = t.LIVE) -> None:
+        value = {"s": status, "n": job.tasks, "t": 0, "spec": msgspec.to_builtins(job)}
+        self.put(t.job_key(job.id), value)
+
+    def progress(self, name: str, done: int = 0, **claims: int) -> None:
+        """Claims are given as c0_1=mask for the tag "c0.1"."""
+        held = {tag.replace("_", "."): mask for tag, mask in claims.items()}
+        self.put(t.progress_key(name), t.Progress(done, held).stored())
+
+    def view(self, number: int, *members: tuple[str, int]) -> None:
+        self.put(t.VIEW, {"n": number, "members": [list(member) for member in members]})
+
+    def member(self, name: str, boot: int, settled: int = 0) -> None:
+        self.put(t.member_key(name), {"boot": boot, "settled": settled})
+
+    def types(self) -> None:
+        self.put(t.CATALOG, msgspec.to_builtins(wire.Catalog([MACHINE_TYPE])))
+
+
+@pytest.fixture
+def store() -> Store:
+    store = Store()
+    store.types()
+    return store
--- /dev/null
+++ b/tests/test_tables.py
@@ -0,0 +1,115 @@
+"""The stored tables: rebuild, order of changes, and who may claim what."""
+
+from __future__ import annotations
+
+from sloeswitch.core import quota, ready, taskset
+from sloeswitch.core import tables as t
+from tests.conftest import Store, spec
+
+JOB = "wk-000001"
+
+
+def test_sets_of_tasks_survive_storing() -> None:
+    for mask in (0, 1, 0b1011, taskset.full(100_000) ^ (1 << 50_000)):
+        assert taskset.unpack(taskset.pack(mask)) == mask
+
+
+def test_lowest_takes_the_oldest_tasks() -> None:
+    assert taskset.lowest(0b110110, 3) == 0b010110
+
+
+def test_progress_read_before_its_job_is_kept(store: Store) -> None:
+    store.progress(JOB, done=0b1)
+    store.job(spec())
+    assert store.tables.jobs[JOB].progress.done == 0b1
+
+
+def test_an_older_change_is_ignored(store: Store) -> None:
+    store.job(spec())
+    store.progress(JOB, done=0b11)
+    store.tables.apply(t.progress_key(JOB), t.Progress(0b1).stored(), 1)
+    assert store.tables.jobs[JOB].progress.done == 0b11
+
+
+def test_a_final_state_never_goes_back(store: Store) -> None:
+    store.job(spec())
+    store.put(t.job_key(JOB), {"s": t.DONE, "n": 4})
+    store.job(spec())  # an overlapping read brings what was before
+    assert store.tables.over[JOB] == (t.DONE, 4)
+    assert JOB not in store.tables.jobs
+
+
+def test_malformed_stored_value_does_not_stop_the_rest(store: Store) -> None:
+    store.put(t.job_key(JOB), {"s": t.LIVE, "n": 4, "t": 0, "spec": {"id": 7}})
+    store.job(spec("wk-000002"))
+    assert list(store.tables.jobs) == ["wk-000002"]
+
+
+def test_claims_of_a_departed_controller_stand_until_all_is_settled(store: Store) -> None:
+    store.job(spec())
+    store.progress(JOB, c0_1=0b1, c1_2=0b10)
+    store.view(2, ("c0", 1))
+    store.member("c0", 1, settled=1)
+    job = store.tables.jobs[JOB]
+    assert not store.tables.all_settled()
+    assert store.tables.open_tasks(job, store.tables.all_settled()) == 0b1100
+    store.member("c0", 1, settled=2)
+    assert store.tables.all_settled()
+    assert store.tables.open_tasks(job, True) == 0b1110
+    assert store.tables.abandoned(job) == ["c1.2"]
+
+
+def test_settled_by_an_earlier_run_of_a_member_does_not_count(store: Store) -> None:
+    store.view(2, ("c0", 5))
+    store.member("c0", 1, settled=2)
+    assert not store.tables.all_settled()
+
+
+def test_order_is_priority_then_guarantee_then_age(store: Store, settings: object) -> None:
+    from sloeswitch.settings import parse
+    from tests.conftest import SETTINGS
+
+    store.job(spec("wk-000001", urgency="best_effort"))
+    store.job(spec("wk-000002", visits=3))
+    store.job(spec("wk-000003", visits=3))
+    store.job(spec("wk-000004", urgency="urgent"))
+    names = [job.spec.id for job in ready.order(store.tables, parse(SETTINGS).teams)]
+    assert names == ["wk-000004", "wk-000002", "wk-000003", "wk-000001"]
+
+
+def test_dealt_out_order_keeps_every_job_once(store: Store) -> None:
+    for number in range(5):
+        store.job(spec(f"wk-00000{number}"))
+    jobs = list(store.tables.jobs.values())
+    for turn in range(3):
+        assert {job.spec.id for job in ready.rotated(jobs, 3, turn)} == {job.spec.id for job in jobs}
+    assert ready.rotated(jobs, 3, 1)[0] is jobs[1]
+
+
+def test_allowances_never_pass_the_limit() -> None:
+    held = {"c0.1": (12.0, 0.0), "c1.2": (6.0, 0.0)}
+    after = quota.reallot(held, (20.0, 0.0), "c0.1", (18.0, 0.0))
+    assert after == {"c0.1": (14.0, 0.0), "c1.2": (6.0, 0.0)}
+
+
+def test_adopted_task_brings_its_part_of_the_limit() -> None:
+    held = {"c0.1": (12.0, 0.0), "c1.2": (6.0, 0.0)}
+    after = quota.move(held, "c0.1", "c1.2", spec(), 2)
+    assert after == {"c0.1": (8.0, 0.0), "c1.2": (10.0, 0.0)}
+    # Never more than the giver had: the sum stays.
+    assert quota.move({"c0.1": (1.0, 0.0)}, "c0.1", "c1.2", spec(), 2)["c1.2"] == (1.0, 0.0)
+
+
+def test_impossible_jobs_are_told_why(store: Store) -> None:
+    from sloeswitch.settings import parse
+    from tests.conftest import SETTINGS
+
+    teams = parse(SETTINGS).teams
+    types = store.tables.types
+    assert quota.impossible(spec(), teams, types) is None
+    assert quota.impossible(spec(crew="blue"), teams, types) == "unknown team"
+    assert quota.impossible(spec(cores=9.0), teams, types) == "fits no machine type"
+    assert quota.impossible(spec(builds=["big"]), teams, types) == "fits no machine type"
+    assert quota.impossible(spec(accelerators=1.0), teams, types) == "over the team's limit"
+    assert quota.impossible(spec(shape="group", visits=11), teams, types) == "over the team's limit"
+    assert quota.impossible(spec(visits=11), teams, types) is None
