Fleet sized by the time left to targets; tasks packed; late jobs stand back

Cause: everything was rented at once for full parallelism, tasks were spread so that no machine fell idle, and under a team's limit plain age made every job late.

--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -172,7 +173,7 @@
         for item in self.expected.values():
             supply[item.kind] = supply.get(item.kind, 0) + 1
         refused = {kind for kind, until in self.refused.items() if now < until}
-        wanted = plan.needs(self.tables, self.settings.teams)
+        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000))
         choice = plan.rent(wanted, supply, self.types, refused, 50)
         if choice is None:
             return
@@ -196,10 +197,10 @@
             return
         now = self.now()
         settled = self.tables.all_settled()
-        backlog = [
+        backlog = self.machines.startable([
             job.spec for job in self.tables.jobs.values()
             if job.status == t.LIVE and self.tables.open_tasks(job, settled)
-        ]  # fmt: skip
+        ])  # fmt: skip
         for machine in list(self.machines.yard.machines.values()):
             kind = self.tables.types.get(machine.type)
             if kind is None or not machine.heard or machine.draining:
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import logging
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -55,6 +56,11 @@
     pass
 
 
+def wall_ms() -> int:
+    """The time of day, which jobs' ages are reckoned by; right within the settings' clock error."""
+    return int(time.time() * 1000)
+
+
 class Machines(Actor):
     name = "machines"
 
@@ -410,7 +416,7 @@
         rooms: list[placement.Room] | None = None
         uses: dict[str, quota.Use] = {}
         now = self.now()
-        for job in ready.order(self.tables, self.settings.teams):
+        for job in ready.order(self.tables, self.settings, wall_ms()):
             waiting = self._waiting(job)
             name = job.spec.id
             if not waiting:
@@ -499,7 +505,7 @@
         spare = {team.name: self._spare(team, uses[team.name]) for team in self.settings.teams.values()}
         members = [member for member, _ in self.standing.view.members]
         turn = members.index(self.settings.member)
-        for job in ready.rotated(ready.order(self.tables, self.settings.teams), len(members), turn):
+        for job in ready.rotated(ready.order(self.tables, self.settings, wall_ms()), len(members), turn):
             spec = job.spec
             name = spec.id
             if spec.team not in useful:
@@ -556,6 +562,15 @@
         more_cores, more_gpus = self.tables.unallotted(team)
         return max(cores + more_cores, use.cores), max(gpus + more_gpus, use.gpus)
 
+    def startable(self, specs: list[wire.JobSpec]) -> list[wire.JobSpec]:
+        """Those of which the team's limit leaves this controller room for one more task."""
+        uses = self._uses()
+        spare = {team.name: self._spare(team, uses[team.name]) for team in self.settings.teams.values()}
+        return [
+            spec for spec in specs
+            if spec.team in spare and quota.room_for(spec, spare[spec.team], uses[spec.team]) > 0
+        ]  # fmt: skip
+
     def placed_count(self, job: str) -> int:
         return self.yard.placed.get(job, 0).bit_count()
 
--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -5,9 +5,10 @@
 import math
 from dataclasses import dataclass
 
-from sloeswitch.core.quota import fits_type
-from sloeswitch.core.tables import LIVE, Tables
-from sloeswitch.settings import Team
+from sloeswitch.core.quota import Use, fits_type, room_for
+from sloeswitch.core.ready import targets
+from sloeswitch.core.tables import LIVE, Job, Tables
+from sloeswitch.settings import Settings
 from sloeswitch.wire import JobSpec, MachineType
 
 Kind = tuple[str, str, bool]  # type, zone, spot
@@ -31,26 +32,39 @@
 
 @dataclass
 class Need:
-    """Room that a job's remaining tasks would take if all ran at once."""
+    """Tasks of a job that should run at once for it to be done in time."""
 
     spec: JobSpec
     tasks: int
 
 
-def needs(tables: Tables, teams: dict[str, Team]) -> list[Need]:
-    """The live jobs' remaining tasks, within the teams' limits, oldest first."""
-    left = {name: [team.cpus_max, team.gpus_max] for name, team in teams.items()}
+# A job's work is spread over this part of the time left to its target; the rest is for what is not known:
+# wrong estimates, lost machines, late boots.
+SPREAD = 0.5
+# Jobs without a target, and late ones, are spread over so many times a task's estimate.
+UNHURRIED = 5.0
+
+
+def at_once(job: Job, settings: Settings, wall_ms: int) -> int:
+    """How many of the job's remaining tasks should run at a time."""
+    spec = job.spec
+    estimate = max(spec.estimate_s, 1e-3)
+    age = (wall_ms - job.submitted_ms) / 1000
+    ahead = [target - age for target in targets(spec, settings.objectives) if target - age > estimate]
+    span = SPREAD * ahead[0] if ahead else UNHURRIED * estimate
+    return min(job.left, math.ceil(job.left * estimate / max(span, estimate)))
+
+
+def needs(tables: Tables, settings: Settings, wall_ms: int) -> list[Need]:
+    """What the live jobs need, within the teams' limits, oldest first."""
+    left = {name: [team.cpus_max, team.gpus_max] for name, team in settings.teams.items()}
     found = []
     for job in sorted(tables.jobs.values(), key=lambda job: job.born):
         limit = left.get(job.spec.team)
         if job.status != LIVE or limit is None:
             continue
         spec = job.spec
-        tasks = job.left
-        if spec.cores > 0:
-            tasks = min(tasks, int(limit[0] / spec.cores + 1e-6))
-        if spec.gpus > 0:
-            tasks = min(tasks, int(limit[1] / spec.gpus + 1e-6))
+        tasks = min(at_once(job, settings, wall_ms), room_for(spec, (limit[0], limit[1]), Use()))
         if tasks > 0:
             limit[0] -= tasks * spec.cores
             limit[1] -= tasks * spec.gpus
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -22,7 +22,6 @@
     gpus: float
     memory: float
     images: set[str] = field(default_factory=set)
-    speed: float = 1.0
 
     def count(self, spec: JobSpec) -> int:
         """How many tasks of the job fit."""
@@ -65,9 +64,9 @@
 
 def fitting(spec: JobSpec, rooms: list[Room]) -> list[Room]:
     """Machines with room for the job, best first: those that have its image, so that it is not fetched
-    again, then the fast ones, then the ones with most room, so that a job's tasks share fetches."""
+    again, then spot machines and the fullest ones, so that the dear and the empty can be returned."""
     found = [room for room in rooms if allowed(spec, room) and room.count(spec) > 0]
-    found.sort(key=lambda room: (spec.image not in room.images, -room.speed, -room.cores))
+    found.sort(key=lambda room: (spec.image not in room.images, not room.spot, room.cores))
     return found
 
 
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -8,14 +8,44 @@
 
 from sloeswitch.core.quota import within_guarantee
 from sloeswitch.core.tables import LIVE, Job, Tables
-from sloeswitch.settings import Team
-from sloeswitch.wire import URGENCIES
+from sloeswitch.settings import Objective, Settings
+from sloeswitch.wire import URGENCIES, JobSpec
 
 RANK = {name: number for number, name in enumerate(URGENCIES)}
 
 
-def order(tables: Tables, teams: dict[str, Team]) -> list[Job]:
-    """Live jobs with tasks left, in the order in which they get room."""
+def targets(spec: JobSpec, objectives: tuple[Objective, ...]) -> list[float]:
+    """Seconds from submission by which the job should be done, the earliest first."""
+    found = set()
+    for objective in objectives:
+        if objective.klass != spec.klass:
+            continue
+        if objective.kind == "deadline" and spec.deadline_s is not None:
+            found.add(objective.times * spec.deadline_s)
+        elif objective.kind == "finished" and objective.within_s is not None:
+            found.add(objective.within_s)
+    if spec.deadline_s is not None and not found:
+        found.add(spec.deadline_s)
+    return sorted(found)
+
+
+def outlook(job: Job, objectives: tuple[Objective, ...], wall_ms: int) -> tuple[bool, int]:
+    """Whether no target of the job can be met any more, and how many are missed for certain."""
+    due = targets(job.spec, objectives)
+    age = (wall_ms - job.submitted_ms) / 1000
+    unstarted = job.spec.tasks > (job.progress.done | job.progress.claimed()).bit_count()
+    soonest = age + (job.spec.estimate_s if unstarted else 0.0)
+    missed = sum(soonest > target for target in due)
+    return bool(due) and missed == len(due), missed
+
+
+def order(tables: Tables, settings: Settings, wall_ms: int) -> list[Job]:
+    """Live jobs with tasks left, in the order in which they get room.
+
+    Oldest first, except that priority and a team's guarantee go before age, and that jobs which cannot
+    meet a target any more stand behind those which can: when a class comes faster than its team's
+    limit allows, plain age would make every job late.
+    """
     live = sorted((job for job in tables.jobs.values() if job.status == LIVE), key=lambda job: job.born)
     wanted: dict[str, tuple[float, float]] = {}
     keyed = []
@@ -25,9 +55,10 @@
         count = job.left
         cores, gpus = cores + count * spec.cores, gpus + count * spec.gpus
         wanted[spec.team] = (cores, gpus)
-        team = teams.get(spec.team)
+        team = settings.teams.get(spec.team)
         guaranteed = team is not None and within_guarantee(team, cores, gpus)
-        keyed.append(((RANK[spec.priority], not guaranteed, job.born), job))
+        hopeless, missed = outlook(job, settings.objectives, wall_ms)
+        keyed.append(((hopeless, RANK[spec.priority], missed, not guaranteed, job.born), job))
     keyed.sort(key=lambda pair: pair[0])
     return [job for _, job in keyed]
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -73,7 +73,7 @@
     store.job(spec("wk-000002", visits=3))
     store.job(spec("wk-000003", visits=3))
     store.job(spec("wk-000004", urgency="urgent"))
-    names = [job.spec.id for job in ready.order(store.tables, parse(SETTINGS).teams)]
+    names = [job.spec.id for job in ready.order(store.tables, parse(SETTINGS), 0)]
     assert names == ["wk-000004", "wk-000002", "wk-000003", "wk-000001"]
 
 
@@ -113,3 +113,26 @@
     assert quota.impossible(spec(accelerators=1.0), teams, types) == "over the team's limit"
     assert quota.impossible(spec(shape="group", visits=11), teams, types) == "over the team's limit"
     assert quota.impossible(spec(visits=11), teams, types) is None
+
+
+def test_a_job_that_cannot_be_in_time_any_more_stands_back(store: Store) -> None:
+    from sloeswitch.settings import parse
+    from tests.conftest import SETTINGS
+
+    store.job(spec("wk-000001", dueS=60.0))
+    store.job(spec("wk-000002", dueS=90.0))
+    settings = parse(SETTINGS)
+    assert [job.spec.id for job in ready.order(store.tables, settings, 10_000)] == ["wk-000001", "wk-000002"]
+    assert [job.spec.id for job in ready.order(store.tables, settings, 30_000)] == ["wk-000002", "wk-000001"]
+
+
+def test_the_fleet_is_sized_for_the_time_left(store: Store) -> None:
+    from sloeswitch.core import fleet
+    from sloeswitch.settings import parse
+    from tests.conftest import SETTINGS
+
+    store.job(spec("wk-000001", dueS=400.0, visits=10))
+    job = store.tables.jobs["wk-000001"]
+    settings = parse(SETTINGS)
+    early, late = fleet.at_once(job, settings, 0), fleet.at_once(job, settings, 300_000)
+    assert early == 2 and late == 8
