--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -164,12 +164,9 @@
 
     async def _rent(self) -> None:
         now = self.now()
-        supply: dict[Kind, int] = {}
         for name in [name for name in self.expected if name in self.tables.machines]:
             del self.expected[name]
-        for row in self.tables.machines.values():
-            kind = (row.type, row.zone, row.spot)
-            supply[kind] = supply.get(kind, 0) + 1
+        supply = self._registered()
         for item in self.expected.values():
             supply[item.kind] = supply.get(item.kind, 0) + 1
         refused = {kind for kind, until in self.refused.items() if now < until}
@@ -189,13 +186,37 @@
         log.info("rented %d of %d %s in %s%s", len(rented or ()), choice.count, kind_name, zone,
                  " (spot)" if spot else "")  # fmt: skip
 
-    # -- idle machines
+    def _registered(self) -> dict[Kind, int]:
+        supply: dict[Kind, int] = {}
+        for row in self.tables.machines.values():
+            kind = (row.type, row.zone, row.spot)
+            supply[kind] = supply.get(kind, 0) + 1
+        return supply
+
+    # -- machines not needed
+
+    def _spare_dear(self) -> None:
+        """Lets ordinary machines run empty while cheaper ones suffice. Every controller reckons from the
+        same tables and picks by name, so that together they spare the right number."""
+        assert self.machines is not None
+        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000))
+        spared = plan.surplus(wanted, self._registered(), self.tables.types)
+        chosen: set[str] = set()
+        for name in sorted(self.tables.machines):
+            row = self.tables.machines[name]
+            kind = (row.type, row.zone, row.spot)
+            if spared.get(kind, 0) > 0:
+                spared[kind] -= 1
+                chosen.add(name)
+        for machine in self.machines.yard.machines.values():
+            machine.spared = machine.name in chosen
 
     def watch_idle(self) -> None:
         """Returns this controller's machines that had nothing to do for about a boot time."""
         if self.machines is None or not self.standing.may_act:
             return
         now = self.now()
+        self._spare_dear()
         settled = self.tables.all_settled()
         backlog = self.machines.startable([
             job.spec for job in self.tables.jobs.values()
@@ -205,12 +226,12 @@
             kind = self.tables.types.get(machine.type)
             if kind is None or not machine.heard or machine.draining:
                 continue
-            if machine.attempts or any(plan.Offer((machine.type, machine.zone, machine.spot), kind).suits(spec)
-                                       for spec in backlog):  # fmt: skip
+            if machine.attempts or (not machine.spared and any(plan.Offer((machine.type, machine.zone, machine.spot), kind).suits(spec)
+                                       for spec in backlog)):  # fmt: skip
                 self.idle_since.pop(machine.name, None)
                 continue
             since = self.idle_since.setdefault(machine.name, now)
-            if now - since > kind.boot_s:
+            if now - since > kind.boot_s or (machine.spared and now - since > 2 * self.settings.report_s):
                 del self.idle_since[machine.name]
                 self.machines._return(machine, "idle")
 
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -38,6 +38,8 @@
     grow: dict[str, tuple[float, float]] = field(default_factory=dict)
     # Smaller allowances, each with the stamp of the stored ones that the asker went by.
     shrink: dict[str, tuple[int, float, float]] = field(default_factory=dict)
+    # Teams whose allowance is to be written even if it stays, so that an earlier write fails for certain.
+    rewrite: set[str] = field(default_factory=set)
     zones: dict[str, str] = field(default_factory=dict)
 
 
@@ -235,7 +237,7 @@
             self._put(job, progress, conditions, writes, drops)
         for team, held in teams.items():
             value = {tag: list(amounts) for tag, amounts in held.items() if amounts[0] > 0 or amounts[1] > 0}
-            if held != self.tables.allowances.get(team, {}):
+            if held != self.tables.allowances.get(team, {}) or (steal is not None and team in steal.rewrite):
                 writes[t.team_key(team)] = value
                 conditions[t.team_key(team)] = self.tables.stamp(t.team_key(team))
                 claimed = True
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -541,8 +541,10 @@
         for team, use in useful.items():
             held = self._allowance(team)
             if use.cores > held[0] + quota.SLACK or use.gpus > held[1] + quota.SLACK:
-                grow[team] = (max(use.cores, held[0]), max(use.gpus, held[1]))
                 self.surplus_since.pop(team, None)
+                free = self.tables.unallotted(self.settings.teams[team])
+                if team in self.shrinking or free[0] > quota.SLACK or free[1] > quota.SLACK:
+                    grow[team] = (max(use.cores, held[0]), max(use.gpus, held[1]))
             elif use.cores < held[0] - quota.SLACK or use.gpus < held[1] - quota.SLACK:
                 # Returned after a while: the next job of the team is likely to want it again.
                 if now - self.surplus_since.setdefault(team, now) > 2 * self.settings.report_s:
@@ -551,14 +553,21 @@
                     del self.surplus_since[team]
             else:
                 self.surplus_since.pop(team, None)
+        # A smaller allowance may be under way and its answer lost, and until something else is written we
+        # hold ourselves to it. Found on the bench: a team stood still, since growing back to what was
+        # stored all along wrote nothing.
+        rewrite = {team for team in grow if team in self.shrinking}
         if wants or grow or shrink:
             self.stealing = True
+            Steal(wants=wants, zones=zones, grow=grow, shrink=shrink, rewrite=rewrite)
             assert self.group is not None
-            self.group.start_soon(self._ask_for, Steal(wants=wants, zones=zones, grow=grow, shrink=shrink))
+            self.group.start_soon(
+                self._ask_for, Steal(wants=wants, zones=zones, grow=grow, shrink=shrink, rewrite=rewrite)
+            )
 
     def _spare(self, team: Team, use: quota.Use) -> tuple[float, float]:
         """The most that this controller could be allowed now: its allowance and what nobody holds."""
-        cores, gpus = self._allowance(team.name)
+        cores, gpus = self.tables.allowance(team.name, self.standing.tag)
         more_cores, more_gpus = self.tables.unallotted(team)
         return max(cores + more_cores, use.cores), max(gpus + more_gpus, use.gpus)
 
--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -81,9 +81,34 @@
 
 
 def offers(types: dict[str, MachineType]) -> list[Offer]:
-    return [
+    """All kinds, the cheapest by the core first."""
+    found = [
         Offer((kind.name, zone, spot), kind) for kind in types.values() for zone in kind.zones for spot in (True, False)
     ]
+    found.sort(key=lambda offer: offer.price / max(offer.type.cores, 1e-3))
+    return found
+
+
+def fill(
+    wanted: list[Need], supply: dict[Kind, int], found: list[Offer]
+) -> tuple[dict[Kind, float], list[tuple[JobSpec, float]]]:
+    """Puts the needs on the machines at hand, the cheapest first: machines left over of each kind, and
+    tasks for which there is none."""
+    left = {offer.kind: float(supply.get(offer.kind, 0)) for offer in found}
+    short = []
+    for need in wanted:
+        tasks = float(need.tasks)
+        for offer in found:
+            if tasks <= 0:
+                break
+            if left[offer.kind] > 0 and offer.suits(need.spec):
+                part = machines_for(need.spec, 1, offer.type)
+                taken = min(tasks, left[offer.kind] / part) if part > 0 else tasks
+                left[offer.kind] -= taken * part
+                tasks -= taken
+        if tasks > 1e-6:
+            short.append((need.spec, tasks))
+    return left, short
 
 
 @dataclass
@@ -92,6 +117,11 @@
     count: int
 
 
+# A kind is rented when at least this part of one of its machines would be filled. It is let go only when
+# three times as much is left over, so that machines do not come and go with every job.
+WORTH_RENTING = 0.5
+
+
 def rent(
     wanted: list[Need],
     supply: dict[Kind, int],
@@ -100,38 +130,29 @@
     most: int,
 ) -> Plan | None:
     """The next booking, or None when the machines at hand, up or on their way, have room for all."""
-    room = {kind: count * types[kind[0]].cores for kind, count in supply.items() if kind[0] in types}
     found = offers(types)
-    short: list[tuple[JobSpec, float]] = []
-    for need in wanted:
-        cores = need.tasks * max(need.spec.cores, 1e-3)
-        # Memory may bind before cores do: count the cores that it keeps from others.
-        for offer in found:
-            if cores <= 0:
-                break
-            if room.get(offer.kind, 0.0) > 0 and offer.suits(need.spec):
-                weight = machines_for(need.spec, 1, offer.type) * offer.type.cores / max(need.spec.cores, 1e-3)
-                taken = min(cores * weight, room[offer.kind])
-                room[offer.kind] -= taken
-                cores -= taken / weight
-        if cores > 1e-6:
-            short.append((need.spec, cores))
-    if not short:
-        return None
+    _left, short = fill(wanted, supply, found)
     best: tuple[float, int, Kind, int] | None = None
     for offer in found:
         if offer.kind in refused:
             continue
-        machines = sum(
-            machines_for(spec, 1, offer.type) * cores / max(spec.cores, 1e-3)
-            for spec, cores in short
-            if offer.suits(spec)
-        )
-        if machines < 0.5:
+        machines = sum(machines_for(spec, 1, offer.type) * tasks for spec, tasks in short if offer.suits(spec))
+        if machines < WORTH_RENTING:
             continue
-        count = min(most, max(1, math.floor(machines)))
         price = offer.price / max(offer.type.cores, 1e-3)
-        candidate = (price, supply.get(offer.kind, 0), offer.kind, count)
+        candidate = (price, supply.get(offer.kind, 0), offer.kind, min(most, max(1, math.floor(machines))))
         if best is None or candidate[:2] < best[:2]:
             best = candidate
     return Plan(best[2], best[3]) if best is not None else None
+
+
+def surplus(wanted: list[Need], supply: dict[Kind, int], types: dict[str, MachineType]) -> dict[Kind, int]:
+    """Ordinary machines, by kind, that the needs leave over while cheaper ones do the work."""
+    left, short = fill(wanted, supply, offers(types))
+    if short:
+        return {}
+    return {
+        kind: math.floor(machines - 3 * WORTH_RENTING + 1)
+        for kind, machines in left.items()
+        if not kind[2] and machines >= 3 * WORTH_RENTING
+    }
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -63,7 +63,7 @@
     gone_at: float = float("inf")
     notice_s: float | None = None
     draining: bool = False
-    idle_since: float | None = None
+    spared: bool = False
     attempts: dict[Task, Attempt] = field(default_factory=dict)
     # Exited attempts to be cleared: (task name, attempt) -> whether the result is a completion.
     exited: dict[tuple[str, int], bool] = field(default_factory=dict)
@@ -340,7 +340,7 @@
         return Room(machine.name, machine.type, machine.zone, machine.spot, cores, gpus, memory, images)
 
     def usable(self, machine: Machine) -> bool:
-        return machine.heard and not machine.draining and machine.notice_s is None
+        return machine.heard and not machine.draining and not machine.spared and machine.notice_s is None
 
 
 def tasks_of(mask: int, job: str) -> list[Task]:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,33 @@
+"""Renting and letting go."""
+
+from __future__ import annotations
+
+from sloeswitch.core import fleet
+from tests.conftest import MACHINE_TYPE, spec
+
+TYPES = {MACHINE_TYPE.name: MACHINE_TYPE}
+SPOT, ORDINARY = ("small", "a", True), ("small", "a", False)
+
+
+def test_the_cheapest_kind_is_rented_first_and_the_refused_one_passed_over() -> None:
+    need = [fleet.Need(spec(), 10)]
+    spot = fleet.rent(need, {}, TYPES, set(), 50)
+    assert spot == fleet.Plan(SPOT, 2)
+    refused = {SPOT, ("small", "b", True)}
+    assert fleet.rent(need, {}, TYPES, refused, 50) == fleet.Plan(ORDINARY, 2)
+
+
+def test_nothing_is_rented_for_what_fits_already() -> None:
+    assert fleet.rent([fleet.Need(spec(), 8)], {SPOT: 2}, TYPES, set(), 50) is None
+
+
+def test_a_job_that_forbids_spot_machines_gets_an_ordinary_one() -> None:
+    plan = fleet.rent([fleet.Need(spec(loaners=False), 4)], {SPOT: 5}, TYPES, set(), 50)
+    assert plan == fleet.Plan(ORDINARY, 1)
+
+
+def test_ordinary_machines_are_let_go_only_with_a_margin() -> None:
+    need = [fleet.Need(spec(), 8)]
+    assert fleet.surplus(need, {SPOT: 2, ORDINARY: 1}, TYPES) == {}
+    assert fleet.surplus(need, {SPOT: 2, ORDINARY: 3}, TYPES) == {ORDINARY: 2}
+    assert fleet.surplus(need, {SPOT: 1, ORDINARY: 3}, TYPES) == {ORDINARY: 1}
