--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -196,7 +196,7 @@
     # -- machines not needed
 
     def _spare_dear(self) -> None:
-        """Lets ordinary machines run empty while cheaper ones suffice. Every controller reckons from the
+        """Lets machines run empty that are not needed, the dearest first. Every controller reckons from the
         same tables and picks by name, so that together they spare the right number."""
         assert self.machines is not None
         wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000))
--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -42,7 +42,7 @@
 # wrong estimates, lost machines, late boots.
 SPREAD = 0.5
 # Jobs without a target, and late ones, are spread over so many times a task's estimate.
-UNHURRIED = 5.0
+UNHURRIED = 2.0
 
 
 def at_once(job: Job, settings: Settings, wall_ms: int) -> int:
@@ -117,8 +117,7 @@
     count: int
 
 
-# A kind is rented when at least this part of one of its machines would be filled. It is let go only when
-# three times as much is left over, so that machines do not come and go with every job.
+# A kind is rented when at least this part of one of its machines would be filled.
 WORTH_RENTING = 0.5
 
 
@@ -147,12 +146,15 @@
 
 
 def surplus(wanted: list[Need], supply: dict[Kind, int], types: dict[str, MachineType]) -> dict[Kind, int]:
-    """Ordinary machines, by kind, that the needs leave over while cheaper ones do the work."""
-    left, short = fill(wanted, supply, offers(types))
+    """Machines, by kind, that the needs leave over, but for a margin of one, the cheapest: the dearest
+    are let run empty first."""
+    found = offers(types)
+    left, short = fill(wanted, supply, found)
     if short:
         return {}
-    return {
-        kind: math.floor(machines - 3 * WORTH_RENTING + 1)
-        for kind, machines in left.items()
-        if not kind[2] and machines >= 3 * WORTH_RENTING
-    }
+    spared = {offer.kind: math.floor(left[offer.kind] + 1e-6) for offer in found}
+    for offer in found:
+        if spared[offer.kind]:
+            spared[offer.kind] -= 1
+            break
+    return {kind: count for kind, count in spared.items() if count}
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -48,7 +48,7 @@
     """
     live = sorted((job for job in tables.jobs.values() if job.status == LIVE), key=lambda job: job.born)
     wanted: dict[str, tuple[float, float]] = {}
-    keyed = []
+    keyed: list[tuple[tuple[bool, float, int, bool, int], Job]] = []
     for job in live:
         spec = job.spec
         cores, gpus = wanted.get(spec.team, (0.0, 0.0))
@@ -58,7 +58,11 @@
         team = settings.teams.get(spec.team)
         guaranteed = team is not None and within_guarantee(team, cores, gpus)
         hopeless, missed = outlook(job, settings.objectives, wall_ms)
-        keyed.append(((hopeless, RANK[spec.priority], missed, not guaranteed, job.born), job))
+        if hopeless:
+            # Only the end of all work is at stake: the longest tasks first, so that none is left over.
+            keyed.append(((True, -spec.estimate_s, 0, False, job.born), job))
+        else:
+            keyed.append(((False, RANK[spec.priority], missed, not guaranteed, job.born), job))
     keyed.sort(key=lambda pair: pair[0])
     return [job for _, job in keyed]
 
