--- a/sloeswitch/actors/users.py
+++ b/sloeswitch/actors/users.py
@@ -110,6 +110,7 @@
             spec = wire.check_spec(wire.decode(request.body, wire.JobSpec))
         except wire.Malformed as error:
             # A repeat of an accepted job is known whatever else is in it: look before refusing.
+            log.info("%s is malformed: %s", name, error)
             return await self._known_or(name, fault(400, str(error)))
         if not self.tables.types:
             return refuse(self.retry_s)
