--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -170,7 +170,7 @@
         for item in self.expected.values():
             supply[item.kind] = supply.get(item.kind, 0) + 1
         refused = {kind for kind, until in self.refused.items() if now < until}
-        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000))
+        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000), plan.SPREAD_RENT)
         choice = plan.rent(wanted, supply, self.types, refused, 50)
         if choice is None:
             return
@@ -199,7 +199,7 @@
         """Lets machines run empty that are not needed, the dearest first. Every controller reckons from the
         same tables and picks by name, so that together they spare the right number."""
         assert self.machines is not None
-        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000))
+        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000), plan.SPREAD_KEEP)
         spared = plan.surplus(wanted, self._registered(), self.tables.types)
         chosen: set[str] = set()
         for name in sorted(self.tables.machines):
--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -39,23 +39,25 @@
 
 
 # A job's work is spread over this part of the time left to its target; the rest is for what is not known:
-# wrong estimates, lost machines, late boots.
-SPREAD = 0.5
+# wrong estimates, lost machines, late boots. Machines are let go by a smaller part, so that they do not
+# come and go with every job and none is missed while work waits.
+SPREAD_RENT = 0.5
+SPREAD_KEEP = 0.25
 # Jobs without a target, and late ones, are spread over so many times a task's estimate.
 UNHURRIED = 2.0
 
 
-def at_once(job: Job, settings: Settings, wall_ms: int) -> int:
+def at_once(job: Job, settings: Settings, wall_ms: int, spread: float) -> int:
     """How many of the job's remaining tasks should run at a time."""
     spec = job.spec
     estimate = max(spec.estimate_s, 1e-3)
     age = (wall_ms - job.submitted_ms) / 1000
     ahead = [target - age for target in targets(spec, settings.objectives) if target - age > estimate]
-    span = SPREAD * ahead[0] if ahead else UNHURRIED * estimate
+    span = spread * ahead[0] if ahead else UNHURRIED * estimate
     return min(job.left, math.ceil(job.left * estimate / max(span, estimate)))
 
 
-def needs(tables: Tables, settings: Settings, wall_ms: int) -> list[Need]:
+def needs(tables: Tables, settings: Settings, wall_ms: int, spread: float) -> list[Need]:
     """What the live jobs need, within the teams' limits, oldest first."""
     left = {name: [team.cpus_max, team.gpus_max] for name, team in settings.teams.items()}
     found = []
@@ -64,7 +66,7 @@
         if job.status != LIVE or limit is None:
             continue
         spec = job.spec
-        tasks = min(at_once(job, settings, wall_ms), room_for(spec, (limit[0], limit[1]), Use()))
+        tasks = min(at_once(job, settings, wall_ms, spread), room_for(spec, (limit[0], limit[1]), Use()))
         if tasks > 0:
             limit[0] -= tasks * spec.cores
             limit[1] -= tasks * spec.gpus
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -24,6 +24,8 @@
             found.add(objective.times * spec.deadline_s)
         elif objective.kind == "finished" and objective.within_s is not None:
             found.add(objective.within_s)
+        elif objective.kind == "wait" and objective.within_s is not None:
+            found.add(objective.within_s + spec.estimate_s)
     if spec.deadline_s is not None and not found:
         found.add(spec.deadline_s)
     return sorted(found)
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -126,7 +126,7 @@
     store.job(spec("wk-000001", dueS=400.0, visits=10))
     job = store.tables.jobs["wk-000001"]
     settings = parse(SETTINGS)
-    early, late = fleet.at_once(job, settings, 0), fleet.at_once(job, settings, 300_000)
+    early, late = (fleet.at_once(job, settings, wall_ms, 0.5) for wall_ms in (0, 300_000))
     assert early == 2 and late == 8
 
 
