--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -157,7 +157,7 @@
             age = now - item2.since
             if name in self.tables.machines or name in self.tables.deleted or (age > lag and name not in names):
                 del self.expected[name]
-            elif kind is not None and age > 4 * kind.boot_s + self.settings.lease_s:
+            elif kind is not None and age > 3 * kind.boot_s:
                 log.info("%s does not come up", name)
                 self.refused[item2.kind] = now + self.settings.list_lag_s
                 self.give_back(name)
