--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -64,6 +64,11 @@
     sets[job] = sets.get(job, 0) | tasks
 
 
+def stored_job(status: str, spec: wire.JobSpec, submitted_ms: int) -> dict[str, Any]:
+    """A job that is not over, as it is stored."""
+    return {"s": status, "n": spec.tasks, "t": submitted_ms, "spec": msgspec.to_builtins(spec)}
+
+
 @dataclass
 class Unstored:
     """What is learnt of a job and not yet in the tables, as sets of tasks."""
@@ -380,12 +385,7 @@
     async def submit(self, spec: wire.JobSpec) -> tuple[str, bool] | None:
         """Accepts a job. Its status and whether it is new, or None when it cannot be stored now."""
         key = t.job_key(spec.id)
-        value = {
-            "s": LIVE,
-            "n": spec.tasks,
-            "t": int(time.time() * 1000),
-            "spec": msgspec.to_builtins(spec),
-        }
+        value = stored_job(LIVE, spec, int(time.time() * 1000))
         outcome, _epoch = await self.client.commit({key: 0}, {key: value}, [], Urgency.USER)
         if outcome is Outcome.DONE:
             self.replica.hint()
@@ -417,12 +417,7 @@
             if job.status == WITHDRAWN:
                 return wire.CANCELLED
             key = t.job_key(name)
-            value = {
-                "s": WITHDRAWN,
-                "n": job.spec.tasks,
-                "t": job.submitted_ms,
-                "spec": msgspec.to_builtins(job.spec),
-            }
+            value = stored_job(WITHDRAWN, job.spec, job.submitted_ms)
             outcome, _epoch = await self.client.commit({key: job.stamp}, {key: value}, [], Urgency.USER)
             if outcome is Outcome.DONE:
                 self.replica.hint()
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -240,7 +240,9 @@
             self.learnt = Learnt(view=self.seen_view)
 
     def _prune_told(self) -> None:
-        """Forgets what the tables show by now."""
+        """Forgets what the tables show by now, and the failures of jobs that are over."""
+        for name in [name for name in self.health.jobs if name in self.tables.over]:
+            self.health.forget_job(name)
         for told, mine in ((self.finished, False), (self.releasing, True)):
             for name in list(told):
                 job = self.tables.jobs.get(name)
--- a/sloeswitch/cloud.py
+++ b/sloeswitch/cloud.py
@@ -26,7 +26,6 @@
         self.bucket = Bucket(0.9 * settings.cloud_rps / settings.count, now())
         self.bucket.rate = max(self.bucket.rate, 0.05)
         self.timeout_s = settings.lease_s / 2
-        self.burst = 1.0
 
     async def _call(self, method: str, path: str, body: bytes | None) -> Reply:
         while (wait := self.bucket.wait_s(min(1.0, self.bucket.rate), Urgency.LEASE, self.now())) > 0:
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -11,7 +11,6 @@
 
 from dataclasses import dataclass, field
 
-from sloeswitch.core import taskset
 from sloeswitch.core.placement import Room
 from sloeswitch.core.tables import LIVE, Tables
 from sloeswitch.wire import JobSpec, MachineType, Malformed, Order, Report, split_task, task_name
@@ -341,7 +340,3 @@
 
     def usable(self, machine: Machine) -> bool:
         return machine.heard and not machine.draining and not machine.spared and machine.notice_s is None
-
-
-def tasks_of(mask: int, job: str) -> list[Task]:
-    return [(job, index) for index in taskset.members(mask)]
--- a/sloeswitch/state.py
+++ b/sloeswitch/state.py
@@ -172,7 +172,6 @@
         # The tables hold everything the state service held at this time.
         self.fresh_at = float("-inf")
         self.changed = anyio.Event()
-        self._reading: anyio.Event | None = None
         self._next: anyio.Event | None = None
         self._wanted = anyio.Event()
         # Watching again at once after each change would use up the request rate.
