--- /dev/null
+++ b/deploy/compile.py
@@ -0,0 +1,10 @@
+"""Imports all that a controller imports, so that its compiled form is in target/ before the first start."""
+
+import importlib
+import os.path
+import sys
+
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+for module in ("run", "sloeswitch.controller", "anyio._backends._asyncio"):
+    importlib.import_module(module)
--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -107,7 +107,8 @@
                 if self.standing.coordinating:
                     await self._read_catalog()
                     await self._list()
-                    await self._rent()
+                    while await self._rent():
+                        pass
                 elif self.expected:
                     self.expected.clear()
             except CloudTrouble as error:
@@ -162,7 +163,8 @@
                 self.refused[item2.kind] = now + self.settings.list_lag_s
                 self.give_back(name)
 
-    async def _rent(self) -> None:
+    async def _rent(self) -> bool:
+        """One booking, if one is needed. Whether there may be another; the cloud's rate paces them."""
         now = self.now()
         for name in [name for name in self.expected if name in self.tables.machines]:
             del self.expected[name]
@@ -173,7 +175,7 @@
         wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000), plan.SPREAD_RENT)
         choice = plan.rent(wanted, supply, self.types, refused, 50)
         if choice is None:
-            return
+            return False
         self.bookings += 1
         # The view number is stored and never given twice; within it the coordinator counts.
         name = f"{self.standing.view.number}-{self.standing.tag}-{self.bookings}"
@@ -185,6 +187,7 @@
             self.expected[machine] = Expected(choice.kind, now)
         log.info("rented %d of %d %s in %s%s", len(rented or ()), choice.count, kind_name, zone,
                  " (spot)" if spot else "")  # fmt: skip
+        return self.standing.coordinating and now - self.listed_at < self.settings.list_lag_s
 
     def _registered(self) -> dict[Kind, int]:
         supply: dict[Kind, int] = {}
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -280,7 +280,7 @@
         held = self.tables.allowances.get(team, {})
         if not settled:
             return dict(held)
-        tags = self.tables.view.tags()
+        tags = self.tables.view.tags
         return {tag: amounts for tag, amounts in held.items() if tag in tags}
 
     def _runs_dry(self, name: str, note: Unstored) -> bool:
@@ -296,7 +296,7 @@
         that no claim holder will."""
         if not self.standing.coordinating:
             return False
-        tags = self.tables.view.tags()
+        tags = self.tables.view.tags
         return not any(mask for tag, mask in job.progress.claims.items() if tag in tags or not settled)
 
     def _updated(self, job: Job, settled: bool) -> Progress:
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -28,7 +28,7 @@
 from sloeswitch.core.yard import RUNNING, Heard, Machine, Yard
 from sloeswitch.http import Answer, Client, NoAnswer, refuse
 from sloeswitch.settings import Address, Settings, Team
-from sloeswitch.state import Outcome, Replica, StateClient, Urgency
+from sloeswitch.state import Replica, StateClient, Urgency
 
 log = logging.getLogger("machines")
 
@@ -36,6 +36,8 @@
 @dataclass
 class Beat(Ask):
     report: wire.Report | None = None
+    # Whether the machine is seen to have received our last answer to it, a short while ago.
+    received: bool = False
 
 
 @dataclass
@@ -52,8 +54,9 @@
     machines: list[str]
 
 
-class Tick:
-    pass
+@dataclass
+class Tick(Ask):
+    """Look after what no report brings up."""
 
 
 def wall_ms() -> int:
@@ -86,6 +89,10 @@
         self.counter = 0
         self.stealing = False
         self.registering: set[str] = set()
+        self.unregistering: set[str] = set()
+        self.groups_made = 0
+        # A machine's row takes about a hundred bytes; a group stays well under the limit of a value.
+        self.most_grouped = max(1, int(settings.value_kb * 1024 / 200))
         self.probing: dict[str, float] = {}
         self.probe_failed: dict[str, int] = {}
         self.waiting_since: dict[str, float] = {}
@@ -97,7 +104,14 @@
         # Smaller allowances being stored: team -> (stamp it relies on, cores, gpus).
         self.shrinking: dict[str, tuple[int, float, float]] = {}
         self.surplus_since: dict[str, float] = {}
-        self.pace_s = settings.report_s / 10
+        # As of the last tick: jobs in the order in which they get room, those of them with work claimed and
+        # not placed, the smallest cores any wants, what limbo uses, and when machines are looked at again.
+        self.line: list[Job] = []
+        self.idle_line: list[Job] = []
+        self.least_cores = 0.0
+        self.limbo_uses: dict[str, quota.Use] = {}
+        self.watch_at = 0.0
+        self.pace_s = max(settings.report_s / 10, settings.lease_s / 60)
         # Work is claimed about this long before it can start.
         self.ahead_s = 0.2 * settings.lease_s
 
@@ -106,29 +120,29 @@
     async def handle(self, message: Any) -> None:
         if isinstance(message, Beat):
             assert message.report is not None
-            message.reply(self._beat(message.report))
+            message.reply(self._beat(message.report, message.received))
         elif isinstance(message, Tick):
             self._tick()
+            message.reply(None)
         elif isinstance(message, Direct):
             self._direct(message.report)
         elif isinstance(message, Deleted):
             self._deleted(message.machines)
 
     async def tick_forever(self) -> None:
+        self.replica.on_change(self._woken)
         while True:
             with anyio.move_on_after(2.5 * self.pace_s):
-                async with anyio.create_task_group() as group:
-                    group.start_soon(self._either, group, self.replica.changed)
-                    group.start_soon(self._either, group, self.wake)
+                await self.wake.wait()
             self.wake = anyio.Event()
+            started = self.now()
             with contextlib.suppress(Busy):
-                self.tell(Tick())
-            await anyio.sleep(self.pace_s)
+                await self.ask(Tick())
+            # Under load the reports come first: a tick takes at most a quarter of the time.
+            await anyio.sleep(max(self.pace_s, 3 * (self.now() - started)))
 
-    @staticmethod
-    async def _either(group: TaskGroup, event: anyio.Event) -> None:
-        await event.wait()
-        group.cancel_scope.cancel()
+    def _woken(self) -> None:
+        self.wake.set()
 
     # -- ownership
 
@@ -160,6 +174,7 @@
             if standing.owner(name) == me and name not in self.yard.machines:
                 self.yard.take(name, row.address, row.type, row.zone, row.spot, view.number, gone_at)
         self.seen_view = view.number
+        self._reckon_limbo()
         self.learnt.adopted = dict(self.yard.still_adopting())
         self.learnt.view = view.number
         log.info("view %d: %d machines are ours, %d of them to be heard", view.number, len(self.yard.machines),
@@ -167,7 +182,7 @@
 
     # -- reports
 
-    def _beat(self, report: wire.Report) -> Answer:
+    def _beat(self, report: wire.Report, received: bool) -> Answer:
         standing = self.standing
         if not standing.may_answer:
             return refuse(1)
@@ -186,6 +201,10 @@
                 standing.view.number, now + self.settings.worker_gone_s,
             )  # fmt: skip
             machine.accounted = True
+        elif self.yard.is_late(machine, report):
+            # Neither a sign of life nor worth an answer that could renew the machine's lease: our own books
+            # go by newer reports. Were it the machine's last word after all, its next one is newer.
+            return refuse(1)
         try:
             heard = self.yard.hear(machine, report, True, now, standing.view.number, self.tables)
         except wire.Malformed as error:
@@ -193,8 +212,11 @@
             return Answer(400)
         orders: list[wire.Order] = []
         if heard.fresh:
+            # Reports can arrive while nothing reaches the machine: until it is seen to have received an
+            # answer it is told no start, so that no task waits there for its lease to run out.
+            machine.reached = received
             self._after(machine, heard)
-            self._place_waiting(only=machine)
+            self._fill(machine)
             orders = self.yard.orders(machine, self.tables, report.serial)
         machine.answered_at = now
         machine.gone_at = max(machine.gone_at if not machine.known else 0.0, now + self.settings.worker_gone_s)
@@ -210,6 +232,7 @@
             log.error("report of %s: %s", report.machine, error)
             return
         if heard.fresh:
+            machine.reached = True  # it carried out what was sent, and its reply came
             self._after(machine, heard)
 
     def _after(self, machine: Machine, heard: Heard) -> None:
@@ -280,13 +303,17 @@
             return
         self._follow_view()
         now = self.now()
-        for machine in list(self.yard.machines.values()):
-            self._watch_over(machine, now)
+        if now >= self.watch_at:
+            self.watch_at = now + self.settings.report_s / 4
+            for machine in list(self.yard.machines.values()):
+                self._watch_over(machine, now)
         self._stop_cancelled()
         if self.tables.all_settled():
             self.yard.limbo.clear()
         self.yard.prune_limbo(self.tables, standing.tag)
+        self._reckon_limbo()
         self._prune_told()
+        self._line_up()
         if standing.may_answer:
             self._place_waiting()
         if standing.may_act:
@@ -296,13 +323,27 @@
             self._steal()
         self._tell_jobs()
 
+    def _line_up(self) -> None:
+        self.line = ready.order(self.tables, self.settings, wall_ms())
+        self.least_cores = min((job.spec.cores for job in self.line), default=0.0)
+
+    def _reckon_limbo(self) -> None:
+        self.limbo_uses = {}
+        for name, mask in self.yard.limbo.items():
+            job = self.tables.jobs.get(name)
+            if job is not None:
+                self.limbo_uses.setdefault(job.spec.team, quota.Use()).add(job.spec, mask.bit_count())
+
     def _watch_over(self, machine: Machine, now: float) -> None:
         if now >= machine.gone_at and (machine.heard or not machine.accounted):
-            lost = self.yard.lose(machine)
+            lost = self.yard.lease_over(machine)
             log.info("%s is silent and its lease is over: %d tasks come back", machine.name, len(lost))
         silent = now - max(machine.heard_at, machine.answered_at, machine.gone_at - self.settings.takeover_gone_s)
         if (machine.heard and silent > 2.2 * self.settings.report_s) or not machine.known:
             self._probe(machine, now)
+        unreached = silent > 2.2 * self.settings.report_s or not machine.reached
+        if unreached and self.yard.withdraw_unsent(machine):
+            self.wake.set()
         patience = max(3.5 * self.settings.report_s, 0.35 * self.settings.lease_s)
         failed = self.probe_failed.get(machine.name, 0)
         if silent > patience and failed >= 2 and self.standing.may_act and not self._blind(now):
@@ -337,38 +378,50 @@
                 del self.yard.machines[name]
             self.health.forget_machine(name)
             self.tables.deleted.add(name)
-            assert self.group is not None
-            self.group.start_soon(self._unregister, name)
+            if name in self.tables.machines:
+                self.unregistering.add(name)
         self.wake.set()
 
-    async def _unregister(self, name: str) -> None:
-        for _ in range(20):
-            if name not in self.tables.machines:
-                return
-            outcome, _ = await self.client.commit({}, {}, [t.machine_key(name)], Urgency.PROGRESS)
-            if outcome is Outcome.DONE:
-                return
-            await anyio.sleep(self.settings.report_s)
+    async def unregister_forever(self) -> None:
+        """Takes deleted machines out of what is stored, many at a time."""
+        while True:
+            await anyio.sleep(2 * self.settings.report_s)
+            self.unregistering &= self.tables.machines.keys()
+            keys = sorted({self.tables.machines[name].key for name in self.unregistering})[: self.settings.txn_ops]
+            if not keys:
+                continue
+            conditions = {key: self.tables.stamp(key) for key in keys}
+            writes = {}
+            for key in keys:
+                names = self.tables.groups.get(key.removeprefix(t.group_key("")), set()) - self.unregistering
+                if names:
+                    writes[key] = {"m": {name: self.tables.machines[name].stored() for name in sorted(names)}}
+            await self.client.commit(conditions, writes, [key for key in keys if key not in writes], Urgency.PROGRESS)
+            self.replica.hint()
 
     def _register(self) -> None:
-        """Stores machines before anything is started on them, so that a later owner knows of them."""
+        """Stores machines before anything is started on them, so that a later owner knows of them. A wave of
+        new ones is one change: the state service takes few, and each machine's own would be half a minute of
+        them."""
         fresh = [
             machine for name, machine in self.yard.machines.items()
             if machine.heard and name not in self.tables.machines and name not in self.registering
         ]  # fmt: skip
-        if fresh:
-            batch = fresh[: self.settings.txn_ops]
+        if fresh and self.group is not None:
+            grouped = all(row.layout >= t.LAYOUT for row in self.tables.members.values())
+            batch = fresh[: self.most_grouped if grouped else self.settings.txn_ops]
             self.registering.update(machine.name for machine in batch)
-            assert self.group is not None
-            self.group.start_soon(self._store_machines, batch)
-
-    async def _store_machines(self, batch: list[Machine]) -> None:
-        writes = {
-            t.machine_key(machine.name): {
-                "a": machine.address, "t": machine.type, "z": machine.zone, "s": machine.spot,
-            }
-            for machine in batch
-        }  # fmt: skip
+            self.group.start_soon(self._store_machines, batch, grouped)
+
+    async def _store_machines(self, batch: list[Machine], grouped: bool) -> None:
+        writes: dict[str, Any] = {}
+        if grouped:
+            self.groups_made += 1
+            key = t.group_key(f"{self.standing.tag}.{self.groups_made}")
+            writes[key] = {"m": {m.name: [m.address, m.type, m.zone, m.spot] for m in batch}}
+        else:
+            for m in batch:
+                writes[t.machine_key(m.name)] = {"a": m.address, "t": m.type, "z": m.zone, "s": m.spot}
         conditions = self.standing.claim_conditions()
         try:
             if self.standing.view.number == self.seen_view:
@@ -386,10 +439,16 @@
             waiting = self._idle_claims(job)
             if waiting and not self._on_machine(name):
                 self._release(name, waiting)
-        for machine in list(self.yard.machines.values()):
+        over = set()
+        for name in self.yard.placed:
+            record = self.tables.jobs.get(name)
+            if record is None or record.status != LIVE:
+                over.add(name)
+        if not over:
+            return
+        for machine in self.yard.machines.values():
             for attempt in list(machine.attempts.values()):
-                record = self.tables.jobs.get(attempt.job)
-                if record is None or record.status != LIVE:
+                if attempt.job in over:
                     self._kill(machine, attempt, 0.0)
 
     def _on_machine(self, job: str) -> bool:
@@ -437,69 +496,96 @@
 
     # -- placement
 
-    def _rooms(self, only: Machine | None = None) -> list[placement.Room]:
-        rooms = []
-        for machine in [only] if only is not None else self.yard.machines.values():
-            kind = self.tables.types.get(machine.type)
-            if (
-                kind is not None
-                and machine.name in self.tables.machines
-                and self.yard.usable(machine)
-                and not self.health.machine_faulty(machine.name)
-                # A machine that misses its reports gets nothing new.
-                and self.now() - machine.heard_at < 2.2 * self.settings.report_s
-            ):
-                rooms.append(self.yard.room(machine, kind))
-        return rooms
-
-    def _place_waiting(self, only: Machine | None = None) -> None:
+    def _room(self, machine: Machine, now: float) -> placement.Room | None:
+        """What the machine has free, or None if no task may go there or none would fit."""
+        kind = self.tables.types.get(machine.type)
+        if (
+            kind is None
+            or self.yard.free_cores(machine, kind) + quota.SLACK < self.least_cores
+            or not self.yard.usable(machine)
+            # A machine that misses its reports gets nothing new.
+            or now - machine.heard_at >= 2.2 * self.settings.report_s
+            or machine.name not in self.tables.machines
+            or self.health.machine_faulty(machine.name)
+        ):
+            return None
+        return self.yard.room(machine, kind)
+
+    def _rooms(self, now: float) -> list[placement.Room]:
+        rooms = (self._room(machine, now) for machine in self.yard.machines.values())
+        return [room for room in rooms if room is not None]
+
+    def _usable(self, job: str, rooms: list[placement.Room]) -> list[placement.Room]:
+        if job not in self.health.jobs:
+            return rooms
+        return [room for room in rooms if not self.health.avoid(job, room.machine)]
+
+    def _roomy(self, rooms: list[placement.Room]) -> list[placement.Room]:
+        """Without those that are full by now."""
+        return [room for room in rooms if room.cores + quota.SLACK >= self.least_cores]
+
+    def _place_waiting(self) -> None:
         """Puts claimed work on machines; work that came back stands before anything newly claimed."""
         rooms: list[placement.Room] | None = None
-        uses: dict[str, quota.Use] = {}
         now = self.now()
-        for job in ready.order(self.tables, self.settings, wall_ms()):
+        self.idle_line = []
+        for job in self.line:
             waiting = self._idle_claims(job)
             name = job.spec.id
             if not waiting:
                 self.waiting_since.pop(name, None)
                 continue
             if rooms is None:
-                rooms = self._rooms(only)
-                uses = self._uses()
-            if not self.health.paused(name, now):
-                self._place(job, waiting, rooms, uses, now, only)
-            left = self._idle_claims(job)
-            if only is None and left:
+                rooms = self._rooms(now)
+            if rooms and not self.health.paused(name, now) and self._place(job, waiting, rooms, now):
+                rooms = self._roomy(rooms)
+                waiting = self._idle_claims(job)
+            if waiting:
+                self.idle_line.append(job)
                 since = self.waiting_since.setdefault(name, now)
                 if now - since > self.ahead_s + 2 * self.settings.report_s and self.standing.may_act:
-                    self._release(name, left)
+                    self._release(name, waiting)
                     del self.waiting_since[name]
 
-    def _place(
-        self, job: Job, tasks: int, rooms: list[placement.Room], uses: dict[str, quota.Use], now: float,
-        only: Machine | None,
-    ) -> None:  # fmt: skip
+    def _fill(self, machine: Machine) -> None:
+        """Puts claimed work on one machine, with the answer to its report."""
+        if not self.idle_line:
+            return
+        now = self.now()
+        room = self._room(machine, now)
+        if room is None:
+            return
+        # Little is claimed ahead, so that whose image is here may go first: it saves a fetch and bends the
+        # order among a few only.
+        for job in sorted(self.idle_line, key=lambda job: job.spec.image not in room.images):
+            if room.count(job.spec) and job.status == LIVE and not job.spec.gang:
+                waiting = self._idle_claims(job)
+                if waiting and not self.health.paused(job.spec.id, now):
+                    self._place(job, waiting, [room], now)
+
+    def _place(self, job: Job, tasks: int, rooms: list[placement.Room], now: float) -> bool:
         name = job.spec.id
         team = job.spec.team
-        tasks = taskset.lowest(tasks, quota.room_for(job.spec, self._allowance(team), uses[team]))
+        tasks = taskset.lowest(tasks, quota.room_for(job.spec, self._allowance(team), self._use(team)))
         if self.health.job_faulty(name):
             tasks = taskset.lowest(tasks, 1)
-        usable = [room for room in rooms if not self.health.avoid(name, room.machine)]
+        usable = self._usable(name, rooms)
         if job.spec.gang:
-            if only is not None or tasks != job.everything:
-                return
+            if tasks != job.everything:
+                return False
             trial = [placement.Room(**vars(room)) for room in usable]
             if len(placement.place(job, tasks, trial)) < job.spec.tasks:
-                return
+                return False
         placed = placement.place(job, tasks, usable)
         if not placed:
-            return
-        uses[team].add(job.spec, len(placed))
+            return False
         self.waiting_since[name] = now
         number = self._number()
         for index, room in placed:
             self.yard.start(self.yard.machines[room.machine], name, index, number, job.spec, now)
-        log.debug("%s: %d tasks on %s", name, len(placed), {room.machine for _, room in placed})
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("%s: %d tasks on %s", name, len(placed), {room.machine for _, room in placed})
+        return True
 
     def _number(self) -> int:
         """An attempt number that no other controller, and no other view, gives out."""
@@ -508,18 +594,11 @@
         position = tags.index(self.settings.member)
         return (self.standing.view.number << 28) + (position << 24) + self.counter % (1 << 24)
 
-    def _uses(self) -> dict[str, quota.Use]:
-        """What tasks that may exist under this controller's responsibility use, by team."""
-        uses = {team: quota.Use() for team in self.settings.teams}
-        for machine in self.yard.machines.values():
-            for attempt in machine.attempts.values():
-                if attempt.spec.team in uses:
-                    uses[attempt.spec.team].add(attempt.spec)
-        for name, mask in self.yard.limbo.items():
-            job = self.tables.jobs.get(name)
-            if job is not None and job.spec.team in uses:
-                uses[job.spec.team].add(job.spec, mask.bit_count())
-        return uses
+    def _use(self, team: str) -> quota.Use:
+        """What tasks of the team that may exist under this controller's responsibility use."""
+        use = self.yard.uses.get(team, quota.Use())
+        limbo = self.limbo_uses.get(team, quota.Use())
+        return quota.Use(use.cores + limbo.cores, use.gpus + limbo.gpus)
 
     def _allowance(self, team: str) -> tuple[float, float]:
         """What may be used now: the stored allowance, or less while a smaller one is being stored."""
@@ -537,21 +616,22 @@
             return
         settled = self.tables.all_settled()
         now = self.now()
-        rooms = self._rooms()
-        uses = self._uses()
+        rooms = self._rooms(now)
         wants: dict[str, int] = {}
         zones: dict[str, str] = {}
         # What each team could put to use on these machines: what runs, what waits, and what is open.
-        useful = {team: quota.Use(use.cores, use.gpus) for team, use in uses.items()}
-        spare = {team.name: self._spare(team, uses[team.name]) for team in self.settings.teams.values()}
+        useful = {team: self._use(team) for team in self.settings.teams}
+        spare = {team.name: self._spare(team, useful[team.name]) for team in self.settings.teams.values()}
+        ahead_cores = self._cores_ahead()
         members = [member for member, _ in self.standing.view.members]
         turn = members.index(self.settings.member)
-        for job in ready.rotated(ready.order(self.tables, self.settings, wall_ms()), len(members), turn):
+        for job in ready.rotated(self.line, len(members), turn):
             spec = job.spec
             name = spec.id
             if spec.team not in useful:
                 continue
-            waiting = self._idle_claims(job).bit_count()
+            idle = self._idle_claims(job)
+            waiting = idle.bit_count()
             open_tasks = self.tables.open_tasks(job, settled)
             if not (open_tasks or waiting) or self.health.paused(name, now):
                 continue
@@ -561,19 +641,24 @@
             count = min(count, quota.room_for(spec, spare[spec.team], useful[spec.team]))
             if count == 0 or (spec.gang and count < spec.tasks):
                 continue
-            usable = [room for room in rooms if not self.health.avoid(name, room.machine)]
+            usable = self._usable(name, rooms)
             if (spec.one_zone or spec.spread) and job.progress.zone is None and usable:
                 zones[name] = max(usable, key=lambda room: room.count(spec)).zone
             trial = [placement.Room(**vars(room)) for room in usable] if spec.gang else usable
-            tasks = taskset.lowest(open_tasks, max(0, count - waiting)) | taskset.lowest(self._idle_claims(job), count)
-            placed = placement.place(job, tasks, trial)
+            placed = []
+            if trial:
+                tasks = taskset.lowest(open_tasks, max(0, count - waiting))
+                placed = placement.place(job, tasks | taskset.lowest(idle, count), trial)
+                rooms = self._roomy(rooms) if placed else rooms
             if spec.gang and len(placed) < spec.tasks:
                 continue
             useful[spec.team].add(spec, len(placed))
-            # Some tasks are claimed ahead, so that a machine which reports a completion gets the next
-            # task with the answer instead of after a write.
-            running = self.placed_count(name)
-            ahead = 0 if spec.gang else round(running * self.ahead_s / max(spec.estimate_s, self.ahead_s))
+            # Some tasks are claimed ahead, in the order of the line, so that a machine which reports a
+            # completion gets the next task with the answer instead of after a write.
+            ahead = 0
+            if not spec.gang:
+                ahead = min(count - len(placed), int(ahead_cores // max(spec.cores, quota.SLACK)))
+                ahead_cores -= ahead * spec.cores
             want = min(open_tasks.bit_count(), max(0, len(placed) + ahead - waiting))
             if want and (len(placed) > waiting or 2 * waiting < ahead) and len(wants) < self.settings.txn_ops // 2:
                 wants[name] = want
@@ -600,12 +685,21 @@
         rewrite = {team for team in grow if team in self.shrinking}
         if wants or grow or shrink:
             self.stealing = True
-            Steal(wants=wants, zones=zones, grow=grow, shrink=shrink, rewrite=rewrite)
             assert self.group is not None
             self.group.start_soon(
                 self._ask_for, Steal(wants=wants, zones=zones, grow=grow, shrink=shrink, rewrite=rewrite)
             )
 
+    def _cores_ahead(self) -> float:
+        """Cores likely to fall free on this controller's machines in the time that a claim takes."""
+        cores = 0.0
+        for name, mask in self.yard.placed.items():
+            job = self.tables.jobs.get(name)
+            if job is not None:
+                share = self.ahead_s / max(job.spec.estimate_s, self.ahead_s)
+                cores += mask.bit_count() * job.spec.cores * share
+        return cores
+
     def _spare(self, team: Team, use: quota.Use) -> tuple[float, float]:
         """The most that this controller could be allowed now: its allowance and what nobody holds."""
         cores, gpus = self.tables.allowance(team.name, self.standing.tag)
@@ -614,16 +708,13 @@
 
     def startable(self, specs: list[wire.JobSpec]) -> list[wire.JobSpec]:
         """Those of which the team's limit leaves this controller room for one more task."""
-        uses = self._uses()
+        uses = {team: self._use(team) for team in self.settings.teams}
         spare = {team.name: self._spare(team, uses[team.name]) for team in self.settings.teams.values()}
         return [
             spec for spec in specs
             if spec.team in spare and quota.room_for(spec, spare[spec.team], uses[spec.team]) > 0
         ]  # fmt: skip
 
-    def placed_count(self, job: str) -> int:
-        return self.yard.placed.get(job, 0).bit_count()
-
     async def _ask_for(self, steal: Steal) -> None:
         try:
             await self.jobs.ask(steal)
--- a/sloeswitch/actors/membership.py
+++ b/sloeswitch/actors/membership.py
@@ -114,6 +114,8 @@
             try:
                 await self._renew()
                 await self.replica.fresh(self.client.timeout_s)
+                if self.standing.boot and not self._row_stands(self.standing.boot):
+                    await self._write_member()
             except (NoAnswer, Stale):
                 pass
             pause = self.settings.controller_lease_s / 4 - (self.client.now() - started)
@@ -148,17 +150,28 @@
             standing.renewed_at = sent
             log.info("joined as %s", standing.tag)
 
+    def _row_stands(self, boot: int) -> bool:
+        return self.replica.tables.members.get(self.settings.member) == t.MemberRow(boot, self.settled, t.LAYOUT)
+
     async def _write_member(self, boot: int | None = None) -> bool:
+        """Stores this run's row, on condition of what is there. Guards against a former run of this member,
+        killed a moment ago, whose own write is carried out only now: it must not take the row from us, nor
+        may it vanish with that run's lease. Should it have come first, ours follows."""
         boot = boot or self.standing.boot
         if not boot:
             return False
         key = t.member_key(self.settings.member)
-        value = {"boot": boot, "settled": self.settled}
         for _ in range(3):
-            outcome, _epoch = await self.client.commit({}, {key: value}, [], Urgency.LEASE, {key: boot})
+            if self._row_stands(boot):
+                return True
+            value = {"boot": boot, "settled": self.settled, "layout": t.LAYOUT}
+            conditions = {key: self.replica.tables.stamp(key)}
+            outcome, _epoch = await self.client.commit(conditions, {key: value}, [], Urgency.LEASE, {key: boot})
             if outcome in (Outcome.DONE, Outcome.NO_LEASE):
+                self.replica.hint()
                 return outcome is Outcome.DONE
-            await anyio.sleep(self.client.timeout_s / 4)
+            with contextlib.suppress(Stale):
+                await self.replica.fresh(self.client.timeout_s)
         return False
 
     async def coordinate(self) -> None:
--- a/sloeswitch/actors/users.py
+++ b/sloeswitch/actors/users.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 
 from sloeswitch import wire
 from sloeswitch.actors.base import Busy
@@ -78,13 +79,14 @@
         if self.standing.may_act:
             return Answer(200)
         # Without the state service a node still tells final states and refuses the rest at once, which
-        # is as good as any other node can do, unless a sibling still reaches the state service.
+        # is as good as any other node can do, unless a sibling still reaches the state service. One that
+        # hears none of its siblings either is cut off: the others may be well.
         mesh = self.standing.mesh
-        fresh = self.settings.controller_lease_s
-        others = mesh is not None and any(
-            peer.state_ok and self.client.now() - peer.asked_at < fresh for peer in mesh.peers.values()
-        )
-        return refuse(self.retry_s) if others else Answer(200)
+        if mesh is None or not mesh.peers:
+            return Answer(200)
+        now, span = self.client.now(), self.settings.controller_lease_s
+        heard = [peer for peer in mesh.peers.values() if now - peer.asked_at < span]
+        return Answer(200) if heard and not any(peer.state_ok for peer in heard) else refuse(self.retry_s)
 
     async def _fresh(self) -> bool:
         if not self.replica.loaded or not self.client.reachable:
@@ -171,5 +173,12 @@
         except wire.Malformed as error:
             log.error("malformed report: %s", error)
             return fault(400, str(error))
-        answer: Answer | None = await self.machines.ask(Beat(report=report))
-        return answer or refuse(self.retry_s)
+        # A report on the same connection, as soon as the next one is due, shows that the last answer was
+        # received. One that was held up on the way shows nothing of the kind.
+        received = self.client.now() - request.talk.get(report.machine, -math.inf) < 2 * self.settings.report_s
+        answer: Answer | None = await self.machines.ask(Beat(report=report, received=received))
+        if answer is None:
+            return refuse(self.retry_s)
+        if answer.status == 200:
+            request.talk[report.machine] = self.client.now()
+        return answer
--- a/sloeswitch/cloud.py
+++ b/sloeswitch/cloud.py
@@ -20,16 +20,22 @@
 
 
 class CloudClient:
-    def __init__(self, settings: Settings, now: Callable[[], float]) -> None:
+    """Calls within this controller's part of the cloud's rate. The coordinator has the larger one, since it
+    lists and rents; the others only give machines back, many in a call."""
+
+    def __init__(self, settings: Settings, coordinating: Callable[[], bool], now: Callable[[], float]) -> None:
         self.http = Client(settings.cloud, most_idle=2)
         self.now = now
-        self.bucket = Bucket(0.9 * settings.cloud_rps / settings.count, now())
-        self.bucket.rate = max(self.bucket.rate, 0.05)
+        self.coordinating = coordinating
+        self.rps = 0.9 * settings.cloud_rps
+        self.lesser = 1 / (2 * settings.count)
+        self.greater = 1 - (settings.count - 1) * self.lesser
+        self.bucket = Bucket(self.rps, now())
         self.timeout_s = settings.lease_s / 2
 
     async def _call(self, method: str, path: str, body: bytes | None) -> Reply:
-        while (wait := self.bucket.wait_s(min(1.0, self.bucket.rate), Urgency.LEASE, self.now())) > 0:
-            await anyio.sleep(wait)
+        self.bucket.rate = self.rps * (self.greater if self.coordinating() else self.lesser)
+        self.bucket.wait_s(1.0, Urgency.LEASE, self.now())
         if self.bucket.level < 0:
             await anyio.sleep(-self.bucket.level / self.bucket.rate)
         try:
--- a/sloeswitch/controller.py
+++ b/sloeswitch/controller.py
@@ -34,7 +34,7 @@
     membership = Membership(settings, client, replica, standing)
     jobs = Jobs(settings, client, replica, standing, now)
     machines = Machines(settings, client, replica, standing, jobs, membership, now)
-    fleet = Fleet(settings, client, CloudClient(settings, now), replica, standing, now)
+    fleet = Fleet(settings, client, CloudClient(settings, lambda: standing.coordinating, now), replica, standing, now)
     machines.fleet, fleet.machines = fleet, machines
     users = Users(settings, client, replica, standing, jobs, machines)
     # Some sockets are kept for the state service, the cloud, the siblings and direct commands.
@@ -43,6 +43,7 @@
         idle_s=6 * settings.lease_s,
         request_s=settings.lease_s / 2,
         most_connections=int(0.7 * settings.fd_limit),
+        now=now,
     )
     listener = await SocketListener.from_socket(listener_socket(settings.bind))
     mesh_listener = await SocketListener.from_socket(listener_socket(settings.mesh))
@@ -54,8 +55,8 @@
             group.start_soon(mesh.ask_forever, sibling)
         for loop in (
             membership.run, membership.keep_lease, membership.coordinate, jobs.run, jobs.store_forever,
-            machines.run, machines.tick_forever, fleet.return_forever, fleet.rent_forever,
-            fleet.watch_idle_forever,
+            machines.run, machines.tick_forever, machines.unregister_forever, fleet.return_forever, fleet.rent_forever,
+            fleet.watch_idle_forever, server.sweep_forever,
         ):  # fmt: skip
             group.start_soon(loop)
         group.start_soon(listener.serve, server.serve)
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -31,12 +31,28 @@
     return sorted(found)
 
 
-def outlook(job: Job, objectives: tuple[Objective, ...], wall_ms: int) -> tuple[bool, int]:
+# Nothing starves, whatever the order by priority, guarantee and lateness: a job with nothing begun after so
+# many worker leases goes before all others until something is, and one still not done after twice as many
+# goes by age alone. Eight leases are two minutes or less, so that a job begins well within four minutes.
+PATIENCE_LEASES = 8.0
+
+
+def standing_back(job: Job, age_s: float, lease_s: float) -> int:
+    """How a job that waits goes before others: 0 first, then 1, and 2 is the ordinary line."""
+    if age_s < PATIENCE_LEASES * lease_s:
+        return 2
+    if not job.progress.done and not job.progress.claims:
+        return 0
+    return 1 if age_s > 2 * PATIENCE_LEASES * lease_s else 2
+
+
+def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[bool, int]:
     """Whether no target of the job can be met any more, and how many are missed for certain."""
-    due = targets(job.spec, objectives)
-    age = (wall_ms - job.submitted_ms) / 1000
+    if job.targets is None:
+        job.targets = targets(job.spec, objectives)
+    due = job.targets
     unstarted = job.spec.tasks > (job.progress.done | job.progress.claimed()).bit_count()
-    soonest = age + (job.spec.estimate_s if unstarted else 0.0)
+    soonest = age_s + (job.spec.estimate_s if unstarted else 0.0)
     missed = sum(soonest > target for target in due)
     return bool(due) and missed == len(due), missed
 
@@ -46,25 +62,29 @@
 
     Oldest first, except that priority and a team's guarantee go before age, and that jobs which cannot
     meet a target any more stand behind those which can: when a class comes faster than its team's
-    limit allows, plain age would make every job late.
+    limit allows, plain age would make every job late. How long a job may stand back is bounded.
     """
     live = sorted((job for job in tables.jobs.values() if job.status == LIVE), key=lambda job: job.born)
     wanted: dict[str, tuple[float, float]] = {}
-    keyed: list[tuple[tuple[bool, float, int, bool, int], Job]] = []
+    keyed: list[tuple[tuple[int, bool, float, int, bool, int], Job]] = []
     for job in live:
         spec = job.spec
         cores, gpus = wanted.get(spec.team, (0.0, 0.0))
         count = job.left
         cores, gpus = cores + count * spec.cores, gpus + count * spec.gpus
         wanted[spec.team] = (cores, gpus)
+        age_s = (wall_ms - job.submitted_ms) / 1000
+        back = standing_back(job, age_s, settings.lease_s)
         team = settings.teams.get(spec.team)
         guaranteed = team is not None and within_guarantee(team, cores, gpus)
-        hopeless, missed = outlook(job, settings.objectives, wall_ms)
-        if hopeless:
+        hopeless, missed = outlook(job, settings.objectives, age_s)
+        if back < 2:
+            keyed.append(((back, False, 0, 0, False, job.born), job))
+        elif hopeless:
             # Only the end of all work is at stake: the longest tasks first, so that none is left over.
-            keyed.append(((True, -spec.estimate_s, 0, False, job.born), job))
+            keyed.append(((back, True, -spec.estimate_s, 0, False, job.born), job))
         else:
-            keyed.append(((False, RANK[spec.priority], missed, not guaranteed, job.born), job))
+            keyed.append(((back, False, RANK[spec.priority], missed, not guaranteed, job.born), job))
     keyed.sort(key=lambda pair: pair[0])
     return [job for _, job in keyed]
 
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -2,20 +2,23 @@
 
 Keys, all under one versioned prefix so that a later layout can be told apart:
 
-    m/MEMBER   {"boot", "settled"}   a live controller (lease-bound)
+    m/MEMBER   {"boot", "settled", "layout"}   a live controller (lease-bound)
     coord      {"member", "boot"}    the coordinator (lease-bound)
     view       {"n", "members"}      the numbered view: [[member, boot], ...]
     catalog    {...}                 machine types, as the cloud last told them
     j/JOB      {"s", "n", ...}       a job: "live", "done" or "withdrawn"; the spec until it is over
     r/JOB      {"d", "c", "z"}       its progress: done tasks, claims by controller, zone
     q/TEAM     {TAG: [cores, gpus]}  the team's limit, as allowances of the controllers
-    h/MACHINE  {"a", "t", "z", "s"}  a machine that may hold tasks
+    g/GROUP    {"m": {MACHINE: [address, type, zone, spot]}}   machines that may hold tasks
+    h/MACHINE  {"a", "t", "z", "s"}  the same, one by one: layout 1, written while a controller that
+                                     knows no groups is about
 """
 
 from __future__ import annotations
 
 import logging
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Any
 
 import msgspec
@@ -28,6 +31,8 @@
 
 PREFIX = "s1/"
 VIEW, COORD, CATALOG = PREFIX + "view", PREFIX + "coord", PREFIX + "catalog"
+# What this version writes; each controller tells it in its member row.
+LAYOUT = 2
 LIVE, DONE, WITHDRAWN = "live", "done", "withdrawn"
 
 
@@ -51,6 +56,10 @@
     return f"{PREFIX}h/{machine}"
 
 
+def group_key(group: str) -> str:
+    return f"{PREFIX}g/{group}"
+
+
 def tag_of(member: str, boot: int) -> str:
     """Names one run of one controller: claims carry it, so that a restart never owns old claims."""
     return f"{member}.{boot}"
@@ -61,6 +70,7 @@
     number: int
     members: tuple[tuple[str, int], ...]
 
+    @cached_property
     def tags(self) -> frozenset[str]:
         return frozenset(tag_of(member, boot) for member, boot in self.members)
 
@@ -121,8 +131,10 @@
     submitted_ms: int
     progress: Progress = field(default_factory=Progress)
     progress_stamp: int = 0
+    # When it should be done, in seconds from submission; reckoned once (see ready).
+    targets: list[float] | None = None
 
-    @property
+    @cached_property
     def everything(self) -> int:
         return taskset.full(self.spec.tasks)
 
@@ -137,12 +149,18 @@
     type: str
     zone: str
     spot: bool
+    # The key that holds it.
+    key: str
+
+    def stored(self) -> list[Any]:
+        return [self.address, self.type, self.zone, self.spot]
 
 
 @dataclass
 class MemberRow:
     boot: int
     settled: int
+    layout: int
 
 
 class Tables:
@@ -161,6 +179,7 @@
         # Jobs that are over, kept for good: one small tuple each.
         self.over: dict[str, tuple[str, int]] = {}
         self.machines: dict[str, MachineRow] = {}
+        self.groups: dict[str, set[str]] = {}
         self.deleted: set[str] = set()
         self.allowances: dict[str, dict[str, tuple[float, float]]] = {}
         self._early: dict[str, tuple[Progress, int]] = {}
@@ -198,15 +217,17 @@
                 self.machines.pop(rest, None)
                 self.deleted.add(rest)
             else:
-                self.machines[rest] = MachineRow(value["a"], value["t"], value["z"], value["s"])
+                self.machines[rest] = MachineRow(value["a"], value["t"], value["z"], value["s"], machine_key(rest))
                 self.deleted.discard(rest)
+        elif kind == "g":
+            self._apply_group(rest, {} if value is None else value["m"])
         elif kind == "q":
             self.allowances[rest] = {tag: (cores, gpus) for tag, (cores, gpus) in (value or {}).items()}
         elif kind == "m":
             if value is None:
                 self.members.pop(rest, None)
             else:
-                self.members[rest] = MemberRow(value["boot"], value["settled"])
+                self.members[rest] = MemberRow(value["boot"], value["settled"], value.get("layout", 1))
         elif kind == "view" and value is not None:
             self.view = View(value["n"], tuple((member, boot) for member, boot in value["members"]))
         elif kind == "coord":
@@ -214,6 +235,16 @@
         elif kind == "catalog" and value is not None:
             self.types = {item.name: item for item in msgspec.convert(value, Catalog).types}
 
+    def _apply_group(self, group: str, rows: dict[str, list[Any]]) -> None:
+        for name in self.groups.pop(group, set()) - rows.keys():
+            self.machines.pop(name, None)
+            self.deleted.add(name)
+        if rows:
+            self.groups[group] = set(rows)
+        for name, (address, kind, zone, spot) in rows.items():
+            self.machines[name] = MachineRow(address, kind, zone, spot, group_key(group))
+            self.deleted.discard(name)
+
     def _apply_job(self, name: str, value: Any, stamp: int) -> None:
         if value is None:
             self.jobs.pop(name, None)
@@ -254,7 +285,7 @@
 
     def abandoned(self, job: Job) -> list[str]:
         """Tags whose claims on the job are void. Only valid while all_settled()."""
-        tags = self.view.tags()
+        tags = self.view.tags
         return [tag for tag in job.progress.claims if tag not in tags]
 
     def open_tasks(self, job: Job, settled: bool) -> int:
@@ -262,7 +293,7 @@
         since the task may still run on one of its machines."""
         progress = job.progress
         taken = progress.done
-        tags = self.view.tags() if settled else None
+        tags = self.view.tags if settled else None
         for tag, mask in progress.claims.items():
             if tags is None or tag in tags:
                 taken |= mask
@@ -277,7 +308,7 @@
         a departed controller's allowance covered exists. Found on the bench: counted on, such allowances
         used up a limit, nobody asked for more, and the team stood still."""
         settled = self.all_settled()
-        tags = self.view.tags()
+        tags = self.view.tags
         held = [
             amounts for tag, amounts in self.allowances.get(team.name, {}).items() if tag in tags or not settled
         ]  # fmt: skip
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -4,7 +4,11 @@
 - a machine is *heard* once it reported under the present view's token;
 - a start counts as not carried out only when a later *beat* lacks it: an answer to a beat may still
   arrive while the reply to a direct command overtakes it;
-- a silent machine's tasks count as existing until its lease is surely over or it is deleted.
+- a silent machine's tasks count as existing until its lease is surely over or it is deleted;
+- a report of a session that is surely over, however late it comes, says nothing any more.
+
+A report lists every task of its machine, and mostly nothing has changed: sums are kept up as attempts come
+and go, so that such a report costs a look-up for each task.
 """
 
 from __future__ import annotations
@@ -12,8 +16,9 @@
 from dataclasses import dataclass, field
 
 from sloeswitch.core.placement import Room
+from sloeswitch.core.quota import Use
 from sloeswitch.core.tables import LIVE, Tables
-from sloeswitch.wire import JobSpec, MachineType, Malformed, Order, Report, split_task, task_name
+from sloeswitch.wire import JobSpec, MachineType, Malformed, Order, Report, ReportedTask, split_task, task_name
 
 PENDING, RUNNING, ENDED, FETCHING = "pending", "running", "ended", "fetching"
 TASK_STATES = {"fetching", "gathering", "running", "flushing", "ended"}
@@ -36,10 +41,17 @@
     placed_at: float = 0.0
     running_at: float | None = None
 
+    def __post_init__(self) -> None:
+        self.name = task_name(self.job, self.index)
+
     @property
     def task(self) -> Task:
         return self.job, self.index
 
+    @property
+    def key(self) -> tuple[str, int]:
+        return self.name, self.number
+
 
 @dataclass
 class Machine:
@@ -52,11 +64,15 @@
     spot: bool
     session: int = 0
     serial: int = 0
+    # The last session whose lease is surely over: nothing that it reported can be true any more.
+    session_over: int = 0
     # Reports under tokens from here on are ours: we have owned the machine since that view.
     since_token: int = 0
     heard: bool = False
     # Nothing of an earlier owner can be on it any more.
     accounted: bool = False
+    # Whether the last report came from a machine seen to have received the answer before it.
+    reached: bool = False
     answered_at: float = float("-inf")
     heard_at: float = float("-inf")
     gone_at: float = float("inf")
@@ -64,6 +80,11 @@
     draining: bool = False
     spared: bool = False
     attempts: dict[Task, Attempt] = field(default_factory=dict)
+    # The same attempts by what reports call them, what they use together, and their images.
+    keyed: dict[tuple[str, int], Attempt] = field(default_factory=dict)
+    use: Use = field(default_factory=Use)
+    memory: float = 0.0
+    fetched: dict[str, int] = field(default_factory=dict)
     # Exited attempts to be cleared: (task name, attempt) -> whether the result is a completion.
     exited: dict[tuple[str, int], bool] = field(default_factory=dict)
     # Attempts the worker reports that are not ours to keep.
@@ -92,6 +113,8 @@
     def __init__(self) -> None:
         self.machines: dict[str, Machine] = {}
         self.placed: dict[str, int] = {}
+        # What the attempts of each team use.
+        self.uses: dict[str, Use] = {}
         # Tasks of ours that were on machines which moved to another owner; nowhere else until settled.
         self.limbo: dict[str, int] = {}
         self.adopting: dict[str, int] = {}
@@ -123,10 +146,9 @@
         self._to_limbo(machine)
 
     def _to_limbo(self, machine: Machine) -> None:
-        for attempt in machine.attempts.values():
+        for attempt in list(machine.attempts.values()):
             self.limbo[attempt.job] = self.limbo.get(attempt.job, 0) | 1 << attempt.index
-            self._unplace(attempt)
-        machine.attempts.clear()
+            self.drop(machine, attempt)
 
     def settled(self, tables: Tables, tag: str) -> bool:
         """Whether everything of the present view is heard or accounted for, and adoptions are stored."""
@@ -159,19 +181,37 @@
     # -- attempts
 
     def start(self, machine: Machine, job: str, index: int, number: int, spec: JobSpec, now: float) -> None:
-        machine.attempts[(job, index)] = Attempt(job, index, number, spec, placed_at=now)
-        self.placed[job] = self.placed.get(job, 0) | 1 << index
+        self._put(machine, Attempt(job, index, number, spec, placed_at=now))
+
+    def _put(self, machine: Machine, attempt: Attempt) -> None:
+        spec = attempt.spec
+        machine.attempts[attempt.task] = machine.keyed[attempt.key] = attempt
+        machine.use.add(spec)
+        machine.memory += spec.memory
+        machine.fetched[spec.image] = machine.fetched.get(spec.image, 0) + 1
+        self.uses.setdefault(spec.team, Use()).add(spec)
+        self.placed[attempt.job] = self.placed.get(attempt.job, 0) | 1 << attempt.index
 
-    def _unplace(self, attempt: Attempt) -> None:
+    def drop(self, machine: Machine, attempt: Attempt) -> None:
+        if machine.attempts.get(attempt.task) is not attempt:
+            return
+        spec = attempt.spec
+        del machine.attempts[attempt.task], machine.keyed[attempt.key]
+        machine.use.add(spec, -1)
+        machine.memory -= spec.memory
+        if not machine.attempts:
+            machine.use, machine.memory = Use(), 0.0  # so that rounding does not add up
+        machine.fetched[spec.image] -= 1
+        if not machine.fetched[spec.image]:
+            del machine.fetched[spec.image]
+        self.uses[spec.team].add(spec, -1)
         mask = self.placed.get(attempt.job, 0) & ~(1 << attempt.index)
         if mask:
             self.placed[attempt.job] = mask
         else:
             self.placed.pop(attempt.job, None)
-
-    def drop(self, machine: Machine, attempt: Attempt) -> None:
-        machine.attempts.pop(attempt.task, None)
-        self._unplace(attempt)
+        if not self.placed:
+            self.uses.clear()
 
     def lose(self, machine: Machine) -> list[Task]:
         """All that was on the machine is gone for certain."""
@@ -181,9 +221,22 @@
         machine.exited.clear()
         machine.unwanted.clear()
         machine.accounted = True
-        machine.heard = False
+        machine.heard = machine.reached = False
         return lost
 
+    def lease_over(self, machine: Machine) -> list[Task]:
+        """The machine's lease is surely over. Guards against reports of that session which were held up on
+        the way: they may come with numbers never seen before, and would bring its tasks back to life."""
+        machine.session_over = max(machine.session_over, machine.session)
+        return self.lose(machine)
+
+    def withdraw_unsent(self, machine: Machine) -> int:
+        """Takes back what was placed on a machine and never sent there."""
+        unsent = [a for a in machine.attempts.values() if a.sent_serial is None and not a.seen]
+        for attempt in unsent:
+            self.drop(machine, attempt)
+        return len(unsent)
+
     def busy_tasks(self, job: str) -> int:
         """Tasks of the job that are, or may be, somewhere under this controller's responsibility."""
         return self.placed.get(job, 0) | self.limbo.get(job, 0)
@@ -196,45 +249,75 @@
 
     def hear(self, machine: Machine, report: Report, beat: bool, now: float, token: int, tables: Tables) -> Heard:
         heard = Heard()
-        if (report.session, report.serial) <= (machine.session, machine.serial):
-            return heard  # a late message: something newer is known
+        if self.is_late(machine, report):
+            return heard  # something newer is known
         if not machine.since_token <= report.token <= token:
             return heard  # not yet fenced: an earlier owner's answer may still act
-        items: dict[tuple[str, int], tuple[Task, str, str | None]] = {}
+        renewed = report.session > machine.session > 0
+        ours = {} if renewed else machine.keyed
+        exited = {} if renewed else machine.exited
+        same = 0
+        changed: list[tuple[Attempt, ReportedTask]] = []
+        kept: set[tuple[str, int]] = set()
+        foreign: list[tuple[Task, ReportedTask]] = []
         for item in report.tasks:
+            key = (item.task, item.attempt)
+            attempt = ours.get(key)
+            if attempt is not None and attempt.seen and item.state == attempt.state:
+                same += 1
+                kept.add(key)
+                continue
             if item.state not in TASK_STATES:
                 raise Malformed(f"task state {item.state!r}")
-            items[(item.task, item.attempt)] = (split_task(item.task), item.state, item.cause)
-        reported = set(items)
+            if attempt is not None:
+                changed.append((attempt, item))
+                kept.add(key)
+            elif key in exited:
+                kept.add(key)
+            else:
+                foreign.append((split_task(item.task), item))
         heard.fresh = True
-        if report.session > machine.session and machine.session:
+        if renewed:
             self.lose(machine)
             heard.freed = True
+        first = not machine.known
         machine.session, machine.serial = report.session, report.serial
         machine.heard, machine.accounted = True, True
         machine.heard_at = now
         machine.notice_s = report.notice_s
         machine.address = report.address
-        for attempt in list(machine.attempts.values()):
-            found = items.pop((task_name(*attempt.task), attempt.number), None)
-            if found is not None:
-                self._progressed(machine, attempt, found[1], found[2], now, heard)
-            elif attempt.seen:
-                self.drop(machine, attempt)
-                heard.freed = True
-            elif beat and attempt.sent_serial is not None and report.serial > attempt.sent_serial:
-                attempt.sent_serial = None  # the answer that carried it was dropped: tell it again
-                if attempt.kill_grace_s is not None:
-                    self.drop(machine, attempt)
-        for key in list(machine.exited):
-            if key not in reported:
+        if same != len(machine.attempts):
+            for attempt in list(machine.attempts.values()):
+                if attempt.key not in kept:
+                    self._missing(machine, attempt, beat, report.serial, heard)
+            for attempt, item in changed:
+                self._progressed(machine, attempt, item.state, item.cause, now, heard)
+        if machine.exited:
+            for key in [key for key in machine.exited if key not in kept]:
                 del machine.exited[key]
         machine.unwanted.clear()
-        for key, (task, state, cause) in items.items():
-            if key not in machine.exited:
-                self._foreign(machine, key, task, state, cause, tables, heard, now)
+        for task, item in foreign:
+            self._foreign(machine, task, item, first, tables, heard, now)
         return heard
 
+    @staticmethod
+    def is_late(machine: Machine, report: Report) -> bool:
+        """Whether something newer is known than what the report says, or its session is over."""
+        return (
+            report.session <= machine.session_over
+            or (report.session, report.serial) <= (machine.session, machine.serial)
+        )  # fmt: skip
+
+    def _missing(self, machine: Machine, attempt: Attempt, beat: bool, serial: int, heard: Heard) -> None:
+        """An attempt that a report lacks."""
+        if attempt.seen:
+            self.drop(machine, attempt)
+            heard.freed = True
+        elif beat and attempt.sent_serial is not None and serial > attempt.sent_serial:
+            attempt.sent_serial = None  # the answer that carried it was dropped: tell it again
+            if attempt.kill_grace_s is not None:
+                self.drop(machine, attempt)
+
     def _progressed(
         self, machine: Machine, attempt: Attempt, state: str, cause: str | None, now: float, heard: Heard
     ) -> None:
@@ -249,7 +332,7 @@
             return
         self.drop(machine, attempt)
         heard.freed = True
-        self._exited(machine, (task_name(*attempt.task), attempt.number), attempt.task, cause, heard)
+        self._exited(machine, attempt.key, attempt.task, cause, heard)
 
     def _exited(self, machine: Machine, key: tuple[str, int], task: Task, cause: str | None, heard: Heard) -> None:
         machine.exited[key] = cause == "done"
@@ -259,13 +342,18 @@
             heard.failed.append((task, machine.name))
 
     def _foreign(
-        self, machine: Machine, key: tuple[str, int], task: Task, state: str, cause: str | None,
-        tables: Tables, heard: Heard, now: float,
-    ) -> None:  # fmt: skip
-        """A task on the machine that this controller did not start: an earlier owner did."""
+        self, machine: Machine, task: Task, item: ReportedTask, first: bool, tables: Tables, heard: Heard, now: float
+    ) -> None:
+        """A task on the machine that this controller did not start: an earlier owner did. Only the first
+        report from a machine that was taken over can hold one to be kept."""
         name, index = task
-        if state == ENDED:
-            self._exited(machine, key, task, cause, heard)
+        key = (item.task, item.attempt)
+        if item.state == ENDED:
+            self._exited(machine, key, task, item.cause, heard)
+            return
+        if not first:
+            # Its place was accounted for without it, so that it may have been started elsewhere.
+            machine.unwanted[key] = None
             return
         job = tables.jobs.get(name)
         if job is None or index >= job.spec.tasks or job.progress.done >> index & 1:
@@ -275,11 +363,10 @@
             # Stored claims say that it cannot be here; stop it rather than trust it.
             machine.unwanted[key] = None
             return
-        attempt = Attempt(name, index, key[1], job.spec, state, seen=True, placed_at=now)
-        if state == RUNNING:
+        attempt = Attempt(name, index, key[1], job.spec, item.state, seen=True, placed_at=now)
+        if item.state == RUNNING:
             attempt.running_at = now
-        machine.attempts[task] = attempt
-        self.placed[name] = self.placed.get(name, 0) | 1 << index
+        self._put(machine, attempt)
         mask = self.limbo.get(name, 0) & ~(1 << index)
         if mask:
             self.limbo[name] = mask
@@ -299,13 +386,12 @@
                 orders.append(Order("clear", key[0], key[1]))
         for key in machine.unwanted:
             orders.append(Order("kill", key[0], key[1], 0.0))
-        for attempt in list(machine.attempts.values()):
-            name = task_name(*attempt.task)
+        for attempt in machine.attempts.values():
             if attempt.kill_grace_s is not None:
-                orders.append(Order("kill", name, attempt.number, attempt.kill_grace_s))
-            elif not attempt.seen and serial is not None:
+                orders.append(Order("kill", attempt.name, attempt.number, attempt.kill_grace_s))
+            elif not attempt.seen and serial is not None and machine.reached:
                 attempt.sent_serial = serial
-                orders.append(Order("start", name, attempt.number))
+                orders.append(Order("start", attempt.name, attempt.number))
         return orders
 
     @staticmethod
@@ -326,17 +412,20 @@
 
     # -- room
 
+    @staticmethod
+    def free_cores(machine: Machine, kind: MachineType) -> float:
+        """Nothing while unwanted tasks are on it: of unknown size, they will be gone soon."""
+        return 0.0 if machine.unwanted else kind.cores - machine.use.cores
+
     def room(self, machine: Machine, kind: MachineType) -> Room:
-        cores, gpus, memory = kind.cores, kind.gpus, kind.memory
-        images = set(machine.images)
-        for attempt in machine.attempts.values():
-            cores -= attempt.spec.cores
-            gpus -= attempt.spec.gpus
-            memory -= attempt.spec.memory
-            images.add(attempt.spec.image)
-        if machine.unwanted:
-            cores = 0.0  # of unknown size; they will be gone soon
-        return Room(machine.name, machine.type, machine.zone, machine.spot, cores, gpus, memory, images)
+        images = {*machine.images, *machine.fetched}
+        return Room(
+            machine.name, machine.type, machine.zone, machine.spot, self.free_cores(machine, kind),
+            kind.gpus - machine.use.gpus, kind.memory - machine.memory, images,
+        )  # fmt: skip
 
     def usable(self, machine: Machine) -> bool:
-        return machine.heard and not machine.draining and not machine.spared and machine.notice_s is None
+        return (
+            machine.heard and machine.reached and not machine.draining and not machine.spared
+            and machine.notice_s is None
+        )  # fmt: skip
--- a/sloeswitch/http.py
+++ b/sloeswitch/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -27,6 +28,9 @@
     method: str
     path: str
     body: bytes
+    # What the handler keeps with the connection. Requests are never pipelined (protocol), so that one
+    # that comes after an answer on the same connection shows that the answer was received.
+    talk: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass
@@ -55,112 +59,141 @@
     return sock
 
 
+@dataclass(eq=False)
+class Connection:
+    """One accepted connection, and when it is closed if nothing comes or goes on it."""
+
+    stream: SocketStream
+    closes_at: float
+    talk: dict[str, float] = field(default_factory=dict)
+    h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.SERVER))
+
+
 class Server:
     """Serves one address. A connection may be idle for `idle_s`; a request, once begun, must be whole within
-    `request_s`. When all connections are taken, a new one takes the place of the one idle longest."""
+    `request_s`. When all connections are taken, a new one takes the place of the one idle longest.
+
+    The times are watched by one sweep for all connections: a timer for each request took a tenth of what
+    a report costs."""
 
-    def __init__(self, handler: Handler, idle_s: float, request_s: float, most_connections: int) -> None:
+    def __init__(
+        self, handler: Handler, idle_s: float, request_s: float, most_connections: int, now: Callable[[], float]
+    ) -> None:
         self.handler = handler
         self.idle_s = idle_s
         self.request_s = request_s
         self.most_connections = most_connections
-        self.open = 0
+        self.now = now
+        self.open: dict[Connection, None] = {}
         # Connections between requests, the longest idle first.
-        self.idle: dict[SocketStream, None] = {}
+        self.idle: dict[Connection, None] = {}
 
     async def serve(self, stream: SocketStream) -> None:
-        if self.open >= self.most_connections:
+        if len(self.open) >= self.most_connections:
             oldest = next(iter(self.idle), None)
             if oldest is None:
                 await anyio.aclose_forcefully(stream)
                 return
-            del self.idle[oldest]
-            await anyio.aclose_forcefully(oldest)
-        self.open += 1
+            await self._drop(oldest)
+        connection = Connection(stream, self.now() + self.idle_s)
+        self.open[connection] = None
         try:
-            await self._serve(stream)
+            await self._serve(connection)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, TimeoutError, OSError):
             pass
         finally:
-            self.open -= 1
-            self.idle.pop(stream, None)
-            await anyio.aclose_forcefully(stream)
+            await self._drop(connection)
+
+    async def _drop(self, connection: Connection) -> None:
+        self.open.pop(connection, None)
+        self.idle.pop(connection, None)
+        await anyio.aclose_forcefully(connection.stream)
+
+    async def sweep_forever(self) -> None:
+        while True:
+            await anyio.sleep(self.request_s / 4)
+            now = self.now()
+            for connection in [connection for connection in self.open if connection.closes_at < now]:
+                await self._drop(connection)
 
-    async def _serve(self, stream: SocketStream) -> None:
-        connection = h11.Connection(h11.SERVER)
+    async def _serve(self, connection: Connection) -> None:
+        parser, stream = connection.h11, connection.stream
         while True:
             try:
-                request = await self._read(connection, stream)
+                request = await self._read(connection)
             except h11.RemoteProtocolError as error:
                 log.debug("broken request: %s", error)
-                await self._broken(connection, stream)
+                await self._broken(parser, stream)
                 return
             if request is None:
                 return
             if len(request.body) > MAX_BODY:
                 answer = Answer(400, b'{"error":"body over 64 KiB"}', close=True)
             else:
+                connection.closes_at = math.inf
                 answer = await self.handler(request)
             headers = [("Content-Type", "application/json"), ("Content-Length", str(len(answer.body)))]
             headers += answer.headers
             if answer.close:
                 headers.append(("Connection", "close"))
-            data = connection.send(
+            data = parser.send(
                 h11.Response(status_code=answer.status, headers=headers, reason=REASONS.get(answer.status, b""))
             )
-            data = (data or b"") + (connection.send(h11.Data(data=answer.body)) or b"")
-            data += connection.send(h11.EndOfMessage()) or b""
-            with anyio.fail_after(self.request_s):
-                await stream.send(data)
-            if answer.close or connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
+            data = (data or b"") + (parser.send(h11.Data(data=answer.body)) or b"")
+            data += parser.send(h11.EndOfMessage()) or b""
+            connection.closes_at = self.now() + self.request_s
+            await stream.send(data)
+            if answer.close or parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
                 return
-            connection.start_next_cycle()
+            parser.start_next_cycle()
 
-    async def _read(self, connection: h11.Connection, stream: SocketStream) -> Request | None:
+    async def _read(self, connection: Connection) -> Request | None:
+        parser, stream = connection.h11, connection.stream
         head: h11.Request | None = None
         body = b""
-        if not connection.trailing_data[0]:
-            self.idle[stream] = None
-            with anyio.fail_after(self.idle_s):
+        if not parser.trailing_data[0]:
+            self.idle[connection] = None
+            connection.closes_at = self.now() + self.idle_s
+            try:
+                data = await stream.receive()
+            except anyio.EndOfStream:
+                return None
+            finally:
+                self.idle.pop(connection, None)
+            connection.closes_at = self.now() + self.request_s
+            parser.receive_data(data)
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                if parser.they_are_waiting_for_100_continue:
+                    note = h11.InformationalResponse(status_code=100, headers=[])
+                    await stream.send(parser.send(note) or b"")
                 try:
-                    connection.receive_data(await stream.receive())
+                    parser.receive_data(await stream.receive())
                 except anyio.EndOfStream:
-                    return None
-                finally:
-                    self.idle.pop(stream, None)
-        with anyio.fail_after(self.request_s):
-            while True:
-                event = connection.next_event()
-                if event is h11.NEED_DATA:
-                    if connection.they_are_waiting_for_100_continue:
-                        note = h11.InformationalResponse(status_code=100, headers=[])
-                        await stream.send(connection.send(note) or b"")
-                    try:
-                        connection.receive_data(await stream.receive())
-                    except anyio.EndOfStream:
-                        connection.receive_data(b"")
-                elif isinstance(event, h11.Request):
-                    head = event
-                elif isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > MAX_BODY:
-                        break
-                elif isinstance(event, h11.EndOfMessage):
+                    parser.receive_data(b"")
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_BODY:
                     break
-                else:
-                    return None
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return None
         if head is None:
             return None
-        return Request(head.method.decode(), head.target.decode(), bytes(body))
+        return Request(head.method.decode(), head.target.decode(), bytes(body), connection.talk)
 
     @staticmethod
-    async def _broken(connection: h11.Connection, stream: SocketStream) -> None:
-        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+    async def _broken(parser: h11.Connection, stream: SocketStream) -> None:
+        if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = b'{"error":"broken HTTP"}'
         headers = [("Content-Length", str(len(body))), ("Connection", "close")]
-        data = connection.send(h11.Response(status_code=400, headers=headers, reason=b"Bad Request")) or b""
-        data += connection.send(h11.Data(data=body)) or b""
+        data = parser.send(h11.Response(status_code=400, headers=headers, reason=b"Bad Request")) or b""
+        data += parser.send(h11.Data(data=body)) or b""
         await stream.send(data)
 
 
--- a/sloeswitch/state.py
+++ b/sloeswitch/state.py
@@ -172,6 +172,7 @@
         # The tables hold everything the state service held at this time.
         self.fresh_at = float("-inf")
         self.changed = anyio.Event()
+        self._listeners: list[Callable[[], None]] = []
         self._next: anyio.Event | None = None
         self._wanted = anyio.Event()
         # Watching again at once after each change would use up the request rate.
@@ -205,9 +206,14 @@
         with anyio.move_on_after(timeout_s):
             await self.changed.wait()
 
+    def on_change(self, listener: Callable[[], None]) -> None:
+        self._listeners.append(listener)
+
     def _notify(self) -> None:
         self.changed.set()
         self.changed = anyio.Event()
+        for listener in self._listeners:
+            listener()
 
     async def _serve_reads(self) -> None:
         while True:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -124,7 +124,7 @@
         self.put(t.VIEW, {"n": number, "members": [list(member) for member in members]})
 
     def member(self, name: str, boot: int, settled: int = 0) -> None:
-        self.put(t.member_key(name), {"boot": boot, "settled": settled})
+        self.put(t.member_key(name), {"boot": boot, "settled": settled, "layout": t.LAYOUT})
 
     def types(self) -> None:
         self.put(t.CATALOG, msgspec.to_builtins(wire.Catalog([MACHINE_TYPE])))
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -87,8 +87,8 @@
         return None
 
     def beat(self, heard: wire.Report) -> wire.Orders:
-        """What the machine is answered."""
-        message = Beat(report=heard)
+        """What the machine is answered, which is seen to have received the answer before."""
+        message = Beat(report=heard, received=True)
         anyio.run(self.machines.handle, message)
         assert message.answer.status == 200, message.answer
         return wire.decode(message.answer.body, wire.Orders)
@@ -103,6 +103,8 @@
             await self.jobs._round()
 
         anyio.run(once)
+        self.machines._line_up()
+        self.machines._place_waiting()
 
 
 @pytest.fixture
@@ -173,6 +175,7 @@
     world.round(Steal(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
     assert world.beat(report(3, 3)).orders == []
     world.client.apply(*world.client.late[0])
+    world.machines._place_waiting()
     assert len(world.beat(report(4, 3)).orders) == 4
 
 
--- /dev/null
+++ b/tests/test_added_rules.py
@@ -0,0 +1,333 @@
+"""The rules that the users added: nothing starves, nothing is forgotten, late copies, one-way silence,
+cut-off controllers and quick restarts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import anyio
+import pytest
+
+from sloeswitch import wire
+from sloeswitch.actors.jobs import Steal
+from sloeswitch.actors.machines import Beat
+from sloeswitch.actors.users import Users
+from sloeswitch.core import ready
+from sloeswitch.core import tables as t
+from sloeswitch.core.ready import PATIENCE_LEASES
+from sloeswitch.http import Answer, Request
+from sloeswitch.mesh import Mesh
+from sloeswitch.settings import parse
+from sloeswitch.state import Outcome
+from tests.conftest import SETTINGS, Store, report, spec, submission
+from tests.test_actors import JOB, World, machine_up
+
+LEASE_S = 10.0
+
+
+@pytest.fixture
+def world(store: Store) -> Iterator[World]:
+    world = World(store)
+    machine_up(world)
+    yield world
+
+
+def beat(world: World, heard: wire.Report, received: bool = True) -> Any:
+    message = Beat(report=heard, received=received)
+    anyio.run(world.machines.handle, message)
+    return message.answer
+
+
+def later(world: World, seconds: float) -> None:
+    """Time passes and the controller keeps its lease."""
+    world.clock.time += seconds
+    world.standing.renewed_at = world.replica.fresh_at = world.clock.time
+
+
+def verbs(answer: Any) -> list[str]:
+    return [order.verb for order in wire.decode(answer.body, wire.Orders).orders]
+
+
+def running(world: World) -> tuple[str, int]:
+    """One task of a job runs on vm-1, as its report 4 tells."""
+    world.store.job(spec(visits=1))
+    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    start = world.beat(report(3, 3)).orders[0]
+    world.beat(report(4, 3, (start.task, start.attempt, "running")))
+    return start.task, start.attempt
+
+
+# -- no starvation
+
+
+def names(store: Store, wall_s: float) -> list[str]:
+    return [job.spec.id for job in ready.order(store.tables, parse(SETTINGS), int(wall_s * 1000))]
+
+
+def test_a_job_with_nothing_begun_goes_first_after_a_bounded_wait(store: Store) -> None:
+    store.job(spec("wk-000001", urgency="best_effort", visits=5000))
+    store.job(spec("wk-000002", urgency="critical"))
+    assert names(store, PATIENCE_LEASES * LEASE_S - 1) == ["wk-000002", "wk-000001"]
+    assert names(store, PATIENCE_LEASES * LEASE_S + 1)[0] == "wk-000001"
+    store.progress("wk-000001", done=0b1)  # begun: others first again, for a while
+    store.progress("wk-000002", done=0b1)
+    assert names(store, PATIENCE_LEASES * LEASE_S + 1) == ["wk-000002", "wk-000001"]
+    assert names(store, 2 * PATIENCE_LEASES * LEASE_S + 1) == ["wk-000001", "wk-000002"]
+
+
+def test_a_hopeless_job_stands_back_for_a_bounded_time(store: Store) -> None:
+    store.job(spec("wk-000001", dueS=20.0))
+    store.progress("wk-000001", done=0b1)
+    store.job(spec("wk-000002", dueS=500.0))
+    store.progress("wk-000002", done=0b1)
+    assert names(store, 60.0)[0] == "wk-000002"
+    assert names(store, 2 * PATIENCE_LEASES * LEASE_S + 1)[0] == "wk-000001"
+
+
+def test_every_waiting_team_and_class_begins_within_four_minutes(store: Store) -> None:
+    """Whatever keeps coming, the longest that a job with nothing begun waits for its turn is bounded."""
+    store.job(spec("wk-000001", urgency="best_effort", crew="red", visits=300))
+    for number in range(2, 40):
+        store.job(spec(f"wk-{number:06d}", urgency="critical", dueS=1000.0))
+        store.progress(f"wk-{number:06d}", done=0b1)
+    assert PATIENCE_LEASES * 14.0 < 0.5 * 240.0
+    assert names(store, PATIENCE_LEASES * LEASE_S + 1)[0] == "wk-000001"
+
+
+# -- reports arrive, answers do not
+
+
+def test_no_start_is_told_to_a_machine_not_seen_to_have_received_an_answer(world: World) -> None:
+    world.store.job(spec())
+    world.round(Steal(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
+    assert verbs(beat(world, report(3, 3), received=False)) == []
+    assert verbs(beat(world, report(4, 3), received=True)) == ["start"] * 4
+
+
+def test_what_was_never_sent_goes_elsewhere_and_what_was_sent_counts_as_present(world: World) -> None:
+    task = running(world)
+    machine = world.machines.yard.machines["vm-1"]
+    world.store.job(spec("wk-000002", visits=2))
+    world.round(Steal(wants={"wk-000002": 2}, grow={"red": (8.0, 0.0)}))
+    assert world.machines.yard.placed["wk-000002"] == 0b11
+    beat(world, report(5, 3, (*task, "running")), received=False)
+    world.machines._watch_over(machine, world.clock.time)
+    assert "wk-000002" not in world.machines.yard.placed  # to be placed again
+    assert world.machines.yard.placed[JOB] == 0b1
+    # Its reports go on, so its lease may be alive: it counts until it is reported gone.
+    later(world, 2.0)
+    beat(world, report(9, 3, (*task, "running")), received=False)
+    world.machines._watch_over(machine, world.clock.time)
+    assert world.machines.yard.placed[JOB] == 0b1
+    beat(world, report(10, 3, session=2), received=False)
+    assert JOB not in world.machines.yard.placed
+
+
+def test_only_a_prompt_report_on_the_same_connection_shows_that_an_answer_came(world: World) -> None:
+    users = Users(world.settings, world.client, world.replica, world.standing, world.jobs, world.machines)
+    seen: list[bool] = []
+
+    async def ask(message: Beat) -> Answer:
+        seen.append(message.received)
+        return Answer(200)
+
+    world.machines.ask = ask  # type: ignore[assignment]
+
+    async def talk(serial: int, connection: dict[str, float]) -> None:
+        await users.handle(Request("POST", "/agent/beat", wire.encode(report(serial, 3)), connection))
+
+    connection: dict[str, float] = {}
+    anyio.run(talk, 3, connection)
+    anyio.run(talk, 4, connection)
+    anyio.run(talk, 5, {})
+    world.clock.time += 30.0  # held up on the way
+    anyio.run(talk, 6, connection)
+    assert seen == [False, True, False, False]
+
+
+# -- late copies
+
+
+def test_a_late_copy_renews_no_lease_and_is_answered_no_orders(world: World) -> None:
+    running(world)
+    machine = world.machines.yard.machines["vm-1"]
+    gone_at = machine.gone_at
+    later(world, 5.0)
+    assert beat(world, report(3, 3)).status == 503
+    assert machine.gone_at == gone_at and machine.heard_at < world.clock.time
+    assert world.machines.yard.placed[JOB] == 0b1
+
+
+def test_a_report_held_up_beyond_its_lease_revives_nothing(world: World) -> None:
+    task = running(world)
+    machine = world.machines.yard.machines["vm-1"]
+    later(world, machine.gone_at + 0.1 - world.clock.time)
+    world.machines._watch_over(machine, world.clock.time)
+    assert JOB not in world.machines.yard.placed
+    # A number never seen, of the session that is over: the task may run elsewhere by now.
+    assert beat(world, report(99, 3, (*task, "running"))).status == 503
+    assert JOB not in world.machines.yard.placed and not machine.heard
+    assert beat(world, report(100, 3, session=2), received=False).status == 200
+    assert machine.heard and not machine.reached
+
+
+def test_a_copy_of_an_earlier_session_says_nothing(world: World) -> None:
+    task = running(world)
+    beat(world, report(1, 3, session=2))
+    assert JOB not in world.machines.yard.placed
+    assert beat(world, report(50, 3, (*task, "running"))).status == 503
+    assert JOB not in world.machines.yard.placed
+
+
+def test_a_task_that_turns_up_after_its_machine_was_accounted_for_is_stopped_not_adopted(world: World) -> None:
+    world.store.job(spec(visits=1))
+    world.store.progress(JOB, c1_9=0b1)
+    answer = beat(world, report(3, 3, (f"{JOB}/0", 5, "running")))
+    assert verbs(answer) == ["kill"] and JOB not in world.machines.yard.placed
+    assert not world.machines.yard.adopting
+
+
+def test_a_copy_is_no_evidence_that_a_start_was_not_carried_out(world: World) -> None:
+    world.store.job(spec(visits=1))
+    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    assert verbs(beat(world, report(3, 3))) == ["start"]
+    beat(world, report(2, 3))
+    beat(world, report(3, 3))
+    (attempt,) = world.machines.yard.machines["vm-1"].attempts.values()
+    assert attempt.sent_serial == 3
+
+
+def test_a_copy_from_a_deleted_machine_is_refused_also_after_a_restart(world: World) -> None:
+    world.store.put(t.machine_key("vm-1"), None)
+    assert beat(world, report(9, 3)).status == 503
+    # A restarted controller does not remember it; the copy bears an earlier token and counts for nothing.
+    world.store.tables.deleted.clear()
+    world.machines.yard.reset()
+    world.store.view(4, ("c0", 1))
+    world.machines.seen_view = 0
+    assert beat(world, report(10, 3)).status == 200
+    machine = world.machines.yard.machines["vm-1"]
+    assert not machine.heard and not world.machines.yard.usable(machine)
+
+
+# -- a controller without state service and siblings
+
+
+def cut_off(world: World) -> Users:
+    mesh = world.standing.mesh = Mesh(world.settings.siblings, 1.0, world.clock, lambda: (3, False))
+    mesh.peers["c1"].asked_at = world.clock.time
+    world.clock.time += 2 * world.settings.controller_lease_s
+    world.client.failing_since = world.clock.time - world.settings.controller_lease_s
+    return Users(world.settings, world.client, world.replica, world.standing, world.jobs, world.machines)
+
+
+def test_a_cut_off_controller_sends_workers_and_users_elsewhere_at_once(world: World) -> None:
+    users = cut_off(world)
+    assert beat(world, report(9, 3)).status == 503
+    asked = [
+        Request("GET", "/healthz", b""),
+        Request("POST", "/submissions", wire.encode(submission())),
+        Request("GET", f"/submissions/{JOB}", b""),
+    ]
+    for request in asked:
+        answer = anyio.run(users.handle, request)
+        assert answer.status == 503 and dict(answer.headers)["Retry-After"], request.path
+
+
+def test_in_an_outage_that_siblings_share_a_controller_stays_healthy(world: World) -> None:
+    users = cut_off(world)
+    mesh = world.standing.mesh
+    assert mesh is not None
+    mesh.peers["c1"].asked_at, mesh.peers["c1"].state_ok = world.clock.time, False
+    assert users._healthz().status == 200
+    mesh.peers["c1"].state_ok = True
+    assert users._healthz().status == 503
+
+
+# -- a controller back within a fraction of a second
+
+
+def test_the_former_runs_late_write_does_not_take_the_member_row(world: World) -> None:
+    former = {"boot": 1, "settled": 3, "layout": t.LAYOUT}
+    conditions = {t.member_key("c0"): world.store.tables.stamp(t.member_key("c0"))}
+    world.standing.boot = 7
+    world.membership.settled = 0
+    assert anyio.run(world.membership._write_member)
+    assert world.client.apply(conditions, {t.member_key("c0"): former}, [])[0] is Outcome.CONFLICT
+    assert world.store.tables.members["c0"].boot == 7
+
+
+def test_a_member_row_lost_to_the_former_run_is_written_again(world: World) -> None:
+    world.standing.boot = 7
+    world.store.member("c0", 1, settled=3)
+    assert not world.membership._row_stands(7)
+    assert anyio.run(world.membership._write_member)
+    assert world.membership._row_stands(7)
+
+
+def test_a_new_run_takes_the_coordinators_key_and_the_view_from_its_former_one(world: World) -> None:
+    world.store.put(t.COORD, {"member": "c0", "boot": 1})
+    world.standing.boot = 7
+    assert anyio.run(world.membership._write_member)
+    anyio.run(world.membership._coordinate)
+    assert world.store.tables.coordinator == ("c0", 7)
+    anyio.run(world.membership._coordinate)
+    assert world.store.tables.view == t.View(4, (("c0", 7),))
+
+
+def test_the_former_runs_claims_are_nobodys_only_once_all_is_settled(world: World) -> None:
+    world.store.job(spec())
+    world.store.progress(JOB, c0_1=0b1111)
+    job = world.store.tables.jobs[JOB]
+    world.store.view(4, ("c0", 7))
+    world.store.member("c0", 7, settled=0)
+    assert world.store.tables.open_tasks(job, world.store.tables.all_settled()) == 0
+    world.store.member("c0", 7, settled=4)
+    assert world.store.tables.open_tasks(job, world.store.tables.all_settled()) == 0b1111
+
+
+# -- nothing forgotten
+
+
+def test_a_settled_view_whose_telling_was_lost_is_told_again(world: World) -> None:
+    """An unsettled view would leave the claims of a departed controller standing for ever."""
+    world.store.member("c0", 1, settled=0)
+    world.membership.settled = 3
+    world.client.lose_answers = 3
+    assert not anyio.run(world.membership._write_member)
+    assert not world.membership._row_stands(1)  # so that the next renewal writes it
+    assert anyio.run(world.membership._write_member)
+    assert world.store.tables.members["c0"].settled == 3
+
+
+def test_a_wave_of_machines_is_one_change(world: World) -> None:
+    fresh = [report(1, 0, name=f"vm-{number}") for number in range(100, 140)]
+    for heard in fresh:
+        beat(world, heard, received=False)
+        heard.serial, heard.token = 2, 3
+        beat(world, heard)
+    before = world.store.epoch
+
+    async def register() -> None:
+        async with anyio.create_task_group() as group:
+            world.machines.group = group
+            world.machines._register()
+
+    anyio.run(register)
+    assert world.store.epoch == before + 1
+    assert {f"vm-{number}" for number in range(100, 140)} <= world.store.tables.machines.keys()
+
+
+def test_machines_are_stored_one_by_one_while_a_controller_knows_no_groups(world: World) -> None:
+    world.store.put(t.member_key("c1"), {"boot": 5, "settled": 0})
+    beat(world, report(1, 0, name="vm-9"), received=False)
+    beat(world, report(2, 3, name="vm-9"))
+
+    async def register() -> None:
+        async with anyio.create_task_group() as group:
+            world.machines.group = group
+            world.machines._register()
+
+    anyio.run(register)
+    assert world.store.tables.machines["vm-9"].key == t.machine_key("vm-9")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from sloeswitch.http import Answer, Request, Server
+from sloeswitch.http import Answer, Connection, Request, Server
 
 
 class Pipe:
@@ -36,9 +36,9 @@
 
 def talk(*chunks: bytes) -> bytes:
     pipe: Any = Pipe(*chunks)
-    server = Server(echo, idle_s=60, request_s=60, most_connections=4)
+    server = Server(echo, idle_s=60, request_s=60, most_connections=4, now=lambda: 0.0)
     anyio.run(server.serve, pipe)
-    assert pipe.closed and server.open == 0 and not server.idle
+    assert pipe.closed and not server.open and not server.idle
     sent: bytes = pipe.sent
     return sent
 
@@ -70,9 +70,10 @@
 
 
 def test_a_new_connection_takes_the_place_of_the_longest_idle_one() -> None:
-    server = Server(echo, idle_s=60, request_s=60, most_connections=1)
+    server = Server(echo, idle_s=60, request_s=60, most_connections=1, now=lambda: 0.0)
     old: Any = Pipe()
-    server.open, server.idle = 1, {old: None}
+    connection = Connection(old, closes_at=60.0)
+    server.open, server.idle = {connection: None}, {connection: None}
     new: Any = Pipe(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
     anyio.run(server.serve, new)
     assert old.closed and new.sent.startswith(b"HTTP/1.1 200")
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -19,6 +19,7 @@
     yard = Yard()
     machine = owned(yard)
     yard.hear(machine, report(1, 3), True, 0.0, 3, store.tables)
+    machine.reached = True
     yard.start(machine, JOB, 0, 77, spec(), 0.0)
     orders = yard.orders(machine, store.tables, 1)
     assert [(order.verb, order.task, order.attempt) for order in orders] == [("start", f"{JOB}/0", 77)]
