--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import logging
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -25,7 +26,7 @@
 from sloeswitch.core import tables as t
 from sloeswitch.core.health import Health
 from sloeswitch.core.tables import LIVE, Job, Tables
-from sloeswitch.core.yard import RUNNING, Heard, Machine, Yard
+from sloeswitch.core.yard import FETCHING, RUNNING, Heard, Machine, Yard
 from sloeswitch.http import Answer, Client, NoAnswer, refuse
 from sloeswitch.settings import Address, Settings, Team
 from sloeswitch.state import Replica, StateClient, Urgency
@@ -111,6 +112,7 @@
         self.least_cores = 0.0
         self.limbo_uses: dict[str, quota.Use] = {}
         self.watch_at = 0.0
+        self.summary_at = 0.0
         self.pace_s = max(settings.report_s / 10, settings.lease_s / 60)
         # Work is claimed about this long before it can start.
         self.ahead_s = 0.2 * settings.lease_s
@@ -303,10 +305,14 @@
             return
         self._follow_view()
         now = self.now()
+        if now >= self.summary_at:
+            self.summary_at = now + 2 * self.settings.lease_s
+            self._summary()
         if now >= self.watch_at:
             self.watch_at = now + self.settings.report_s / 4
+            cut = self._cut_zones(now)
             for machine in list(self.yard.machines.values()):
-                self._watch_over(machine, now)
+                self._watch_over(machine, now, machine.zone in cut)
         self._stop_cancelled()
         if self.tables.all_settled():
             self.yard.limbo.clear()
@@ -323,8 +329,26 @@
             self._steal()
         self._tell_jobs()
 
+    def _has_begun(self, job: Job) -> bool:
+        """Claimed by us and nowhere yet is not begun: it must not lose its place in the line for that."""
+        claims = job.progress.claims
+        ours = self.standing.tag in claims
+        return bool(job.progress.done or len(claims) > ours or self.yard.placed.get(job.spec.id))
+
+    def _summary(self) -> None:
+        """What an operator wants to know at a glance, once in a while."""
+        machines = [m for m in self.yard.machines.values() if m.heard and m.type in self.tables.types]
+        log.info(
+            "%d machines up (%d not to be used), %.0f of %.0f cores in use, %d tasks placed, %d fetching;"
+            " %d jobs live, %d of them with work open",
+            len(machines), sum(not self.yard.usable(m) for m in machines), sum(m.use.cores for m in machines),
+            sum(self.tables.types[m.type].cores for m in machines), sum(len(m.attempts) for m in machines),
+            sum(attempt.state == FETCHING for m in machines for attempt in m.attempts.values()), len(self.line),
+            sum(bool(self.tables.open_tasks(job, self.tables.all_settled())) for job in self.line),
+        )  # fmt: skip
+
     def _line_up(self) -> None:
-        self.line = ready.order(self.tables, self.settings, wall_ms())
+        self.line = ready.order(self.tables, self.settings, wall_ms(), self._has_begun)
         self.least_cores = min((job.spec.cores for job in self.line), default=0.0)
 
     def _reckon_limbo(self) -> None:
@@ -334,7 +358,7 @@
             if job is not None:
                 self.limbo_uses.setdefault(job.spec.team, quota.Use()).add(job.spec, mask.bit_count())
 
-    def _watch_over(self, machine: Machine, now: float) -> None:
+    def _watch_over(self, machine: Machine, now: float, zone_cut: bool = False) -> None:
         if now >= machine.gone_at and (machine.heard or not machine.accounted):
             lost = self.yard.lease_over(machine)
             log.info("%s is silent and its lease is over: %d tasks come back", machine.name, len(lost))
@@ -346,6 +370,10 @@
             self.wake.set()
         patience = max(3.5 * self.settings.report_s, 0.35 * self.settings.lease_s)
         failed = self.probe_failed.get(machine.name, 0)
+        if zone_cut:
+            # Replacements would boot behind the same cut: its tasks come back when the lease is over, and
+            # the machines do when the cut ends, unless it lasts.
+            patience = 4 * self.settings.lease_s
         if silent > patience and failed >= 2 and self.standing.may_act and not self._blind(now):
             self._return(machine, "silent")
         elif self.health.machine_faulty(machine.name) and self.standing.may_act:
@@ -357,6 +385,14 @@
                 if attempt.spec.checkpoint_s > 0 and attempt.state == RUNNING:
                     self._kill(machine, attempt, attempt.spec.save_s)
 
+    def _cut_zones(self, now: float) -> set[str]:
+        """Zones most of whose machines are silent: a cut, rather than machines that failed one by one."""
+        late: dict[str, list[bool]] = {}
+        for machine in self.yard.machines.values():
+            if machine.heard_at > -math.inf and not machine.draining:
+                late.setdefault(machine.zone, []).append(now - machine.heard_at > 2.2 * self.settings.report_s)
+        return {zone for zone, seen in late.items() if len(seen) > 3 and sum(seen) > 0.5 * len(seen)}
+
     def _blind(self, now: float) -> bool:
         """Most machines silent at once points to our own network; then their leases must do."""
         heard = [machine for machine in self.yard.machines.values() if machine.heard]
@@ -557,7 +593,7 @@
             return
         # Little is claimed ahead, so that whose image is here may go first: it saves a fetch and bends the
         # order among a few only.
-        for job in sorted(self.idle_line, key=lambda job: job.spec.image not in room.images):
+        for job in sorted(self.idle_line, key=lambda job: (not job.beginning, job.spec.image not in room.images)):
             if room.count(job.spec) and job.status == LIVE and not job.spec.gang:
                 waiting = self._idle_claims(job)
                 if waiting and not self.health.paused(job.spec.id, now):
@@ -638,6 +674,8 @@
             count = open_tasks.bit_count() + waiting
             if self.health.job_faulty(name):
                 count = min(count, 1)
+            elif job.beginning and not spec.gang:
+                count = min(count, math.ceil(ready.BEGINNING * spec.tasks))
             count = min(count, quota.room_for(spec, spare[spec.team], useful[spec.team]))
             if count == 0 or (spec.gang and count < spec.tasks):
                 continue
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from sloeswitch.core.quota import within_guarantee
 from sloeswitch.core.tables import LIVE, Job, Tables
 from sloeswitch.settings import Objective, Settings
@@ -32,59 +34,71 @@
 
 
 # Nothing starves, whatever the order by priority, guarantee and lateness: a job with nothing begun after so
-# many worker leases goes before all others until something is, and one still not done after twice as many
+# many worker leases goes before all others until a part of it is, and one still not done after twice as many
 # goes by age alone. Eight leases are two minutes or less, so that a job begins well within four minutes.
 PATIENCE_LEASES = 8.0
+# The part of a job's tasks that goes first on that ground.
+BEGINNING = 0.125
+
+
+def begun(job: Job) -> bool:
+    return bool(job.progress.done or job.progress.claims)
 
 
-def standing_back(job: Job, age_s: float, lease_s: float) -> int:
+def standing_back(begun: bool, age_s: float, lease_s: float) -> int:
     """How a job that waits goes before others: 0 first, then 1, and 2 is the ordinary line."""
     if age_s < PATIENCE_LEASES * lease_s:
         return 2
-    if not job.progress.done and not job.progress.claims:
+    if not begun:
         return 0
     return 1 if age_s > 2 * PATIENCE_LEASES * lease_s else 2
 
 
-def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[bool, int]:
-    """Whether no target of the job can be met any more, and how many are missed for certain."""
+def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[int, float | None]:
+    """How many targets of the job are missed for certain, and how long its remaining tasks can still wait
+    for the next one, or None when there is no such target."""
     if job.targets is None:
         job.targets = targets(job.spec, objectives)
-    due = job.targets
     unstarted = job.spec.tasks > (job.progress.done | job.progress.claimed()).bit_count()
     soonest = age_s + (job.spec.estimate_s if unstarted else 0.0)
-    missed = sum(soonest > target for target in due)
-    return bool(due) and missed == len(due), missed
+    ahead = [target for target in job.targets if target >= soonest]
+    return len(job.targets) - len(ahead), ahead[0] - soonest if ahead else None
 
 
-def order(tables: Tables, settings: Settings, wall_ms: int) -> list[Job]:
+def order(
+    tables: Tables, settings: Settings, wall_ms: int, has_begun: Callable[[Job], bool] = begun
+) -> list[Job]:  # fmt: skip
     """Live jobs with tasks left, in the order in which they get room.
 
-    Oldest first, except that priority and a team's guarantee go before age, and that jobs which cannot
-    meet a target any more stand behind those which can: when a class comes faster than its team's
-    limit allows, plain age would make every job late. How long a job may stand back is bounded.
+    Oldest first, with these exceptions. What lies within its team's guarantee goes first, since it need not
+    wait for others; then, by what little time they have, jobs at risk of missing a target; then priority.
+    Jobs which cannot meet a target any more stand behind those which can: when a class comes faster than
+    its team's limit allows, plain age would make every job late. How long a job may stand back is bounded.
     """
     live = sorted((job for job in tables.jobs.values() if job.status == LIVE), key=lambda job: job.born)
     wanted: dict[str, tuple[float, float]] = {}
-    keyed: list[tuple[tuple[int, bool, float, int, bool, int], Job]] = []
+    keyed: list[tuple[tuple[int, bool, bool, int, int, float], Job]] = []
     for job in live:
         spec = job.spec
         cores, gpus = wanted.get(spec.team, (0.0, 0.0))
-        count = job.left
-        cores, gpus = cores + count * spec.cores, gpus + count * spec.gpus
+        cores, gpus = cores + spec.tasks * spec.cores, gpus + spec.tasks * spec.gpus
         wanted[spec.team] = (cores, gpus)
         age_s = (wall_ms - job.submitted_ms) / 1000
-        back = standing_back(job, age_s, settings.lease_s)
+        back = standing_back(has_begun(job), age_s, settings.lease_s)
         team = settings.teams.get(spec.team)
         guaranteed = team is not None and within_guarantee(team, cores, gpus)
-        hopeless, missed = outlook(job, settings.objectives, age_s)
+        missed, slack_s = outlook(job, settings.objectives, age_s)
+        job.beginning = back == 0
         if back < 2:
-            keyed.append(((back, False, 0, 0, False, job.born), job))
-        elif hopeless:
+            key = (back, False, False, 0, 0, float(job.born))
+        elif missed and slack_s is None:
             # Only the end of all work is at stake: the longest tasks first, so that none is left over.
-            keyed.append(((back, True, -spec.estimate_s, 0, False, job.born), job))
+            key = (back, True, False, 0, 0, -spec.estimate_s)
+        elif slack_s is not None and slack_s < spec.estimate_s:
+            key = (back, False, not guaranteed, missed, -1, slack_s)
         else:
-            keyed.append(((back, False, RANK[spec.priority], missed, not guaranteed, job.born), job))
+            key = (back, False, not guaranteed, missed, RANK[spec.priority], float(job.born))
+        keyed.append((key, job))
     keyed.sort(key=lambda pair: pair[0])
     return [job for _, job in keyed]
 
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -133,6 +133,8 @@
     progress_stamp: int = 0
     # When it should be done, in seconds from submission; reckoned once (see ready).
     targets: list[float] | None = None
+    # Whether it goes first just now since nothing of it has begun for long; only a part of it does.
+    beginning: bool = False
 
     @cached_property
     def everything(self) -> int:
