--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import logging
 import time
 from collections.abc import Callable
@@ -20,7 +21,7 @@
 from sloeswitch import wire
 from sloeswitch.actors.base import Actor, Ask
 from sloeswitch.actors.membership import Standing
-from sloeswitch.core import quota, taskset
+from sloeswitch.core import quota, ready, taskset
 from sloeswitch.core import tables as t
 from sloeswitch.core.tables import DONE, LIVE, WITHDRAWN, Job, Progress, Tables
 from sloeswitch.settings import Settings
@@ -183,7 +184,12 @@
         teams: dict[str, dict[str, tuple[float, float]]] = {}
         if steal is not None and acting:
             tag = self.standing.tag
-            for team, wanted in steal.grow.items():
+            # Controllers that all take their parts at once, as after a crash of all, would keep making each
+            # other's conditions false: each begins with another team, and leaves room for claims.
+            members = [member for member, _ in self.standing.view.members]
+            turn = members.index(self.settings.member)
+            for team in ready.rotated(list(steal.grow), len(members), turn)[: max(1, room // 3)]:
+                wanted = steal.grow[team]
                 limit = self.settings.teams[team]
                 held = self._held(teams, team, settled)
                 # An adoption may have raised it since; only the asker knows when less will do.
@@ -204,7 +210,8 @@
             want = steal.wants.get(name, 0) if steal is not None and acting else 0
             team = job.spec.team
             adopting = name in self.unstored and self.unstored[name].adopted
-            cost = 2 + (1 if adopting and team not in teams else 0)
+            done = job.progress.done | (self.unstored[name].done if name in self.unstored else 0)
+            cost = (2 if done == job.everything else 1) + (1 if adopting and team not in teams else 0)
             if len(writes) + len(drops) + cost > room:
                 break
             if adopting:
@@ -251,16 +258,20 @@
 
     def _due(self, steal: Steal | None) -> list[str]:
         """Jobs to be written in this round, the most urgent first."""
-        names: dict[str, None] = {}
+        adopting: list[str] = []
         for name, note in self.unstored.items():
             # An adoption holds for the view in which the machine was ours. Stored later, it would take
             # the task back from the machine's new owner, and the task would be started a second time.
             if note.adopted_view != self.standing.view.number or not self.standing.included:
                 note.adopted = 0
-            if note.adopted:
-                names[name] = None
-        if steal is not None:
-            names.update(dict.fromkeys(steal.wants))
+            if note.adopted and name in self.tables.jobs:
+                adopting.append(name)
+        # Adoptions and claims take turns: what is adopted runs meanwhile, but free room should not wait.
+        # Those of one team share the change of its allowance.
+        adopting.sort(key=lambda name: self.tables.jobs[name].spec.team)
+        wanted = list(steal.wants) if steal is not None else []
+        pairs = itertools.zip_longest(wanted, adopting)
+        names = dict.fromkeys(name for pair in pairs for name in pair if name is not None)
         now = self.now()
         for name, note in self.unstored.items():
             if now - note.since >= (self.batch_s if self._runs_dry(name, note) else self.lazy_s):
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -338,13 +338,14 @@
     def _summary(self) -> None:
         """What an operator wants to know at a glance, once in a while."""
         machines = [m for m in self.yard.machines.values() if m.heard and m.type in self.tables.types]
+        live = [job for job in self.tables.jobs.values() if job.status == LIVE]
         log.info(
             "%d machines up (%d not to be used), %.0f of %.0f cores in use, %d tasks placed, %d fetching;"
             " %d jobs live, %d of them with work open",
             len(machines), sum(not self.yard.usable(m) for m in machines), sum(m.use.cores for m in machines),
             sum(self.tables.types[m.type].cores for m in machines), sum(len(m.attempts) for m in machines),
-            sum(attempt.state == FETCHING for m in machines for attempt in m.attempts.values()), len(self.line),
-            sum(bool(self.tables.open_tasks(job, self.tables.all_settled())) for job in self.line),
+            sum(attempt.state == FETCHING for m in machines for attempt in m.attempts.values()), len(live),
+            sum(bool(self.tables.open_tasks(job, self.tables.all_settled())) for job in live),
         )  # fmt: skip
 
     def _line_up(self) -> None:
@@ -565,7 +566,11 @@
         rooms: list[placement.Room] | None = None
         now = self.now()
         self.idle_line = []
+        seen: set[str] = set()
         for job in self.line:
+            if job.spec.id in seen:
+                continue
+            seen.add(job.spec.id)
             waiting = self._idle_claims(job)
             name = job.spec.id
             if not waiting:
@@ -659,6 +664,7 @@
         useful = {team: self._use(team) for team in self.settings.teams}
         spare = {team.name: self._spare(team, useful[team.name]) for team in self.settings.teams.values()}
         ahead_cores = self._cores_ahead()
+        taken: dict[str, int] = {}
         members = [member for member, _ in self.standing.view.members]
         turn = members.index(self.settings.member)
         for job in ready.rotated(self.line, len(members), turn):
@@ -666,15 +672,19 @@
             name = spec.id
             if spec.team not in useful:
                 continue
-            idle = self._idle_claims(job)
+            # One that stands in the line twice has had a part of its tasks already.
+            had = taken.get(name)
+            idle = 0 if had else self._idle_claims(job)
             waiting = idle.bit_count()
             open_tasks = self.tables.open_tasks(job, settled)
+            if had:
+                open_tasks &= ~had
             if not (open_tasks or waiting) or self.health.paused(name, now):
                 continue
             count = open_tasks.bit_count() + waiting
             if self.health.job_faulty(name):
                 count = min(count, 1)
-            elif job.beginning and not spec.gang:
+            elif job.beginning and not spec.gang and had is None:
                 count = min(count, math.ceil(ready.BEGINNING * spec.tasks))
             count = min(count, quota.room_for(spec, spare[spec.team], useful[spec.team]))
             if count == 0 or (spec.gang and count < spec.tasks):
@@ -687,6 +697,7 @@
             if trial:
                 tasks = taskset.lowest(open_tasks, max(0, count - waiting))
                 placed = placement.place(job, tasks | taskset.lowest(idle, count), trial)
+                taken[name] = sum(1 << index for index, _ in placed)
                 rooms = self._roomy(rooms) if placed else rooms
             if spec.gang and len(placed) < spec.tasks:
                 continue
@@ -699,7 +710,7 @@
                 ahead_cores -= ahead * spec.cores
             want = min(open_tasks.bit_count(), max(0, len(placed) + ahead - waiting))
             if want and (len(placed) > waiting or 2 * waiting < ahead) and len(wants) < self.settings.txn_ops // 2:
-                wants[name] = want
+                wants[name] = wants.get(name, 0) + want
         grow: dict[str, tuple[float, float]] = {}
         shrink: dict[str, tuple[int, float, float]] = {}
         for team, use in useful.items():
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeVar
 
 from sloeswitch.core.quota import within_guarantee
 from sloeswitch.core.tables import LIVE, Job, Tables
 from sloeswitch.settings import Objective, Settings
 from sloeswitch.wire import URGENCIES, JobSpec
 
+T = TypeVar("T")
+
 RANK = {name: number for number, name in enumerate(URGENCIES)}
 
 
@@ -71,9 +74,11 @@
     """Live jobs with tasks left, in the order in which they get room.
 
     Oldest first, with these exceptions. What lies within its team's guarantee goes first, since it need not
-    wait for others; then, by what little time they have, jobs at risk of missing a target; then priority.
+    wait for others; then jobs at risk of missing a target; then priority.
     Jobs which cannot meet a target any more stand behind those which can: when a class comes faster than
-    its team's limit allows, plain age would make every job late. How long a job may stand back is bounded.
+    its team's limit allows, plain age would make every job late. How long a job may stand back is
+    bounded: one that waited too long for its beginning stands in the line twice, in front for a part of its
+    tasks (`beginning`) and in its ordinary place for the rest.
     """
     live = sorted((job for job in tables.jobs.values() if job.status == LIVE), key=lambda job: job.born)
     wanted: dict[str, tuple[float, float]] = {}
@@ -89,13 +94,16 @@
         guaranteed = team is not None and within_guarantee(team, cores, gpus)
         missed, slack_s = outlook(job, settings.objectives, age_s)
         job.beginning = back == 0
+        if job.beginning:
+            keyed.append(((0, False, False, 0, 0, float(job.born)), job))
+            back = 2
         if back < 2:
             key = (back, False, False, 0, 0, float(job.born))
         elif missed and slack_s is None:
             # Only the end of all work is at stake: the longest tasks first, so that none is left over.
             key = (back, True, False, 0, 0, -spec.estimate_s)
         elif slack_s is not None and slack_s < spec.estimate_s:
-            key = (back, False, not guaranteed, missed, -1, slack_s)
+            key = (back, False, not guaranteed, missed, -1, float(job.born))
         else:
             key = (back, False, not guaranteed, missed, RANK[spec.priority], float(job.born))
         keyed.append((key, job))
@@ -103,10 +111,10 @@
     return [job for _, job in keyed]
 
 
-def rotated(jobs: list[Job], parts: int, turn: int) -> list[Job]:
+def rotated(jobs: list[T], parts: int, turn: int) -> list[T]:
     """The order in which one of `parts` controllers claims: the oldest jobs are dealt out, so that the
     controllers do not all write the same one. Nobody's turn at a job moves by more than `parts` places."""
-    dealt: list[Job] = []
+    dealt: list[T] = []
     for start in range(0, len(jobs), parts):
         chunk = jobs[start : start + parts]
         shift = turn % len(chunk)
