--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -26,7 +26,7 @@
 from sloeswitch.core import tables as t
 from sloeswitch.core.health import Health
 from sloeswitch.core.tables import LIVE, Job, Tables
-from sloeswitch.core.yard import FETCHING, RUNNING, Heard, Machine, Yard
+from sloeswitch.core.yard import FETCHING, RUNNING, Attempt, Heard, Machine, Yard
 from sloeswitch.http import Answer, Client, NoAnswer, refuse
 from sloeswitch.settings import Address, Settings, Team
 from sloeswitch.state import Replica, StateClient, Urgency
@@ -65,6 +65,19 @@
     return int(time.time() * 1000)
 
 
+# Machines that are not needed are emptied once no more than this part of them is in use.
+LEAN = 0.5
+
+
+def movable(attempt: Attempt, now: float) -> bool:
+    """Whether an attempt can be stopped and go on elsewhere for little: it saves, and is not new."""
+    spec = attempt.spec
+    return (
+        spec.checkpoint_s > 0 and not spec.gang and attempt.state == RUNNING and attempt.kill_grace_s is None
+        and attempt.running_at is not None and now - attempt.running_at > 2 * spec.checkpoint_s
+    )  # fmt: skip
+
+
 class Machines(Actor):
     name = "machines"
 
@@ -92,6 +105,7 @@
         self.registering: set[str] = set()
         self.unregistering: set[str] = set()
         self.groups_made = 0
+        self.unknown: set[str] = set()
         # A machine's row takes about a hundred bytes; a group stays well under the limit of a value.
         self.most_grouped = max(1, int(settings.value_kb * 1024 / 200))
         self.probing: dict[str, float] = {}
@@ -203,6 +217,9 @@
                 standing.view.number, now + self.settings.worker_gone_s,
             )  # fmt: skip
             machine.accounted = True
+            if self.tables.types and report.type not in self.tables.types and report.type not in self.unknown:
+                self.unknown.add(report.type)
+                log.error("%s is of unknown type %s: machines of it get no work", report.machine, report.type)
         elif self.yard.is_late(machine, report):
             # Neither a sign of life nor worth an answer that could renew the machine's lease: our own books
             # go by newer reports. Were it the machine's last word after all, its next one is newer.
@@ -313,6 +330,8 @@
             cut = self._cut_zones(now)
             for machine in list(self.yard.machines.values()):
                 self._watch_over(machine, now, machine.zone in cut)
+            if standing.may_act:
+                self._empty_spared(now)
         self._stop_cancelled()
         if self.tables.all_settled():
             self.yard.limbo.clear()
@@ -386,6 +405,27 @@
                 if attempt.spec.checkpoint_s > 0 and attempt.state == RUNNING:
                     self._kill(machine, attempt, attempt.spec.save_s)
 
+    def _empty_spared(self, now: float) -> None:
+        """Moves the last tasks off machines that are not needed, where that loses next to nothing: all of
+        them save, have run for a while, and there is room elsewhere. One long task would else keep a whole
+        machine for minutes."""
+        lean = [
+            machine for machine in self.yard.machines.values()
+            if machine.spared and machine.reached and machine.attempts and machine.type in self.tables.types
+            and machine.use.cores <= LEAN * self.tables.types[machine.type].cores
+            and all(movable(attempt, now) for attempt in machine.attempts.values())
+        ]  # fmt: skip
+        if not lean:
+            return
+        free = sum(room.cores for room in self._rooms(now))
+        for machine in sorted(lean, key=lambda machine: machine.use.cores):
+            free -= machine.use.cores
+            if free < 0:
+                return
+            log.info("%s is not needed: %d tasks save and move", machine.name, len(machine.attempts))
+            for attempt in list(machine.attempts.values()):
+                self._kill(machine, attempt, attempt.spec.save_s)
+
     def _cut_zones(self, now: float) -> set[str]:
         """Zones most of whose machines are silent: a cut, rather than machines that failed one by one."""
         late: dict[str, list[bool]] = {}
@@ -491,7 +531,7 @@
     def _on_machine(self, job: str) -> bool:
         return any(key[0].startswith(job + "/") for machine in self.yard.machines.values() for key in machine.unwanted)
 
-    def _kill(self, machine: Machine, attempt: Any, grace_s: float) -> None:
+    def _kill(self, machine: Machine, attempt: Attempt, grace_s: float) -> None:
         if self.yard.kill(machine, attempt, grace_s) and machine.heard:
             assert self.group is not None
             self.group.start_soon(self._command, machine)
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -271,3 +271,27 @@
     message = Beat(report=report(3, 3, ("nonsense", 1, "running")))
     anyio.run(world.machines.handle, message)
     assert message.answer.status == 400
+
+
+def test_last_tasks_that_save_move_off_a_machine_that_is_not_needed(world: World) -> None:
+    machine_up(world)
+    world.store.job(spec(visits=1, snapshotS=30.0, stashS=6.0))
+    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    start = world.beat(report(3, 3)).orders[0]
+    world.beat(report(4, 3, (start.task, start.attempt, "running")))
+    spared = world.machines.yard.machines["vm-1"]
+    (attempt,) = spared.attempts.values()
+    spared.spared = True
+    world.clock.time += 2.0
+    world.beat(report(5, 3, (start.task, start.attempt, "running")))
+    attempt.running_at = world.clock.time - 61.0
+    spared.heard = False  # no direct command in this test
+    world.machines._empty_spared(world.clock.time)
+    assert attempt.kill_grace_s is None  # there is no room elsewhere
+    world.beat(report(1, 0, name="vm-2"))
+    world.store.put(t.machine_key("vm-2"), {"a": "127.0.0.1:9001", "t": "small", "z": "a", "s": True})
+    world.beat(report(2, 3, name="vm-2"))
+    spared.heard = False
+    world.machines._empty_spared(world.clock.time)
+    assert attempt.kill_grace_s == 6.0
+    assert world.machines.yard.placed[JOB] == 0b1  # until it is reported gone
