--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -57,15 +57,14 @@
     return 1 if age_s > 2 * PATIENCE_LEASES * lease_s else 2
 
 
-def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[int, float | None]:
-    """How many targets of the job are missed for certain, and how long its remaining tasks can still wait
-    for the next one, or None when there is no such target."""
+def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[bool, int]:
+    """Whether no target of the job can be met any more, and how many are missed for certain."""
     if job.targets is None:
         job.targets = targets(job.spec, objectives)
     unstarted = job.spec.tasks > (job.progress.done | job.progress.claimed()).bit_count()
     soonest = age_s + (job.spec.estimate_s if unstarted else 0.0)
-    ahead = [target for target in job.targets if target >= soonest]
-    return len(job.targets) - len(ahead), ahead[0] - soonest if ahead else None
+    missed = sum(soonest > target for target in job.targets)
+    return bool(missed) and missed == len(job.targets), missed
 
 
 def order(
@@ -74,7 +73,7 @@
     """Live jobs with tasks left, in the order in which they get room.
 
     Oldest first, with these exceptions. What lies within its team's guarantee goes first, since it need not
-    wait for others; then jobs at risk of missing a target; then priority.
+    wait for others; then priority, and jobs that have missed no target yet before those that have.
     Jobs which cannot meet a target any more stand behind those which can: when a class comes faster than
     its team's limit allows, plain age would make every job late. How long a job may stand back is
     bounded: one that waited too long for its beginning stands in the line twice, in front for a part of its
@@ -92,20 +91,18 @@
         back = standing_back(has_begun(job), age_s, settings.lease_s)
         team = settings.teams.get(spec.team)
         guaranteed = team is not None and within_guarantee(team, cores, gpus)
-        missed, slack_s = outlook(job, settings.objectives, age_s)
+        hopeless, missed = outlook(job, settings.objectives, age_s)
         job.beginning = back == 0
         if job.beginning:
             keyed.append(((0, False, False, 0, 0, float(job.born)), job))
             back = 2
         if back < 2:
             key = (back, False, False, 0, 0, float(job.born))
-        elif missed and slack_s is None:
+        elif hopeless:
             # Only the end of all work is at stake: the longest tasks first, so that none is left over.
             key = (back, True, False, 0, 0, -spec.estimate_s)
-        elif slack_s is not None and slack_s < spec.estimate_s:
-            key = (back, False, not guaranteed, missed, -1, float(job.born))
         else:
-            key = (back, False, not guaranteed, missed, RANK[spec.priority], float(job.born))
+            key = (back, False, not guaranteed, RANK[spec.priority], missed, float(job.born))
         keyed.append((key, job))
     keyed.sort(key=lambda pair: pair[0])
     return [job for _, job in keyed]
