--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -21,7 +21,7 @@
 from sloeswitch import wire
 from sloeswitch.actors.base import Actor, Ask
 from sloeswitch.actors.membership import Standing
-from sloeswitch.core import quota, ready, taskset
+from sloeswitch.core import quota, taskset
 from sloeswitch.core import tables as t
 from sloeswitch.core.tables import DONE, LIVE, WITHDRAWN, Job, Progress, Tables
 from sloeswitch.settings import Settings
@@ -184,12 +184,7 @@
         teams: dict[str, dict[str, tuple[float, float]]] = {}
         if steal is not None and acting:
             tag = self.standing.tag
-            # Controllers that all take their parts at once, as after a crash of all, would keep making each
-            # other's conditions false: each begins with another team, and leaves room for claims.
-            members = [member for member, _ in self.standing.view.members]
-            turn = members.index(self.settings.member)
-            for team in ready.rotated(list(steal.grow), len(members), turn)[: max(1, room // 3)]:
-                wanted = steal.grow[team]
+            for team, wanted in steal.grow.items():
                 limit = self.settings.teams[team]
                 held = self._held(teams, team, settled)
                 # An adoption may have raised it since; only the asker knows when less will do.
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -327,9 +327,8 @@
             self._summary()
         if now >= self.watch_at:
             self.watch_at = now + self.settings.report_s / 4
-            cut = self._cut_zones(now)
             for machine in list(self.yard.machines.values()):
-                self._watch_over(machine, now, machine.zone in cut)
+                self._watch_over(machine, now)
             if standing.may_act:
                 self._empty_spared(now)
         self._stop_cancelled()
@@ -378,7 +377,7 @@
             if job is not None:
                 self.limbo_uses.setdefault(job.spec.team, quota.Use()).add(job.spec, mask.bit_count())
 
-    def _watch_over(self, machine: Machine, now: float, zone_cut: bool = False) -> None:
+    def _watch_over(self, machine: Machine, now: float) -> None:
         if now >= machine.gone_at and (machine.heard or not machine.accounted):
             lost = self.yard.lease_over(machine)
             log.info("%s is silent and its lease is over: %d tasks come back", machine.name, len(lost))
@@ -390,10 +389,6 @@
             self.wake.set()
         patience = max(3.5 * self.settings.report_s, 0.35 * self.settings.lease_s)
         failed = self.probe_failed.get(machine.name, 0)
-        if zone_cut:
-            # Replacements would boot behind the same cut: its tasks come back when the lease is over, and
-            # the machines do when the cut ends, unless it lasts.
-            patience = 4 * self.settings.lease_s
         if silent > patience and failed >= 2 and self.standing.may_act and not self._blind(now):
             self._return(machine, "silent")
         elif self.health.machine_faulty(machine.name) and self.standing.may_act:
@@ -426,14 +421,6 @@
             for attempt in list(machine.attempts.values()):
                 self._kill(machine, attempt, attempt.spec.save_s)
 
-    def _cut_zones(self, now: float) -> set[str]:
-        """Zones most of whose machines are silent: a cut, rather than machines that failed one by one."""
-        late: dict[str, list[bool]] = {}
-        for machine in self.yard.machines.values():
-            if machine.heard_at > -math.inf and not machine.draining:
-                late.setdefault(machine.zone, []).append(now - machine.heard_at > 2.2 * self.settings.report_s)
-        return {zone for zone, seen in late.items() if len(seen) > 3 and sum(seen) > 0.5 * len(seen)}
-
     def _blind(self, now: float) -> bool:
         """Most machines silent at once points to our own network; then their leases must do."""
         heard = [machine for machine in self.yard.machines.values() if machine.heard]
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -7,15 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TypeVar
 
 from sloeswitch.core.quota import within_guarantee
 from sloeswitch.core.tables import LIVE, Job, Tables
 from sloeswitch.settings import Objective, Settings
 from sloeswitch.wire import URGENCIES, JobSpec
 
-T = TypeVar("T")
-
 RANK = {name: number for number, name in enumerate(URGENCIES)}
 
 
@@ -108,10 +105,10 @@
     return [job for _, job in keyed]
 
 
-def rotated(jobs: list[T], parts: int, turn: int) -> list[T]:
+def rotated(jobs: list[Job], parts: int, turn: int) -> list[Job]:
     """The order in which one of `parts` controllers claims: the oldest jobs are dealt out, so that the
     controllers do not all write the same one. Nobody's turn at a job moves by more than `parts` places."""
-    dealt: list[T] = []
+    dealt: list[Job] = []
     for start in range(0, len(jobs), parts):
         chunk = jobs[start : start + parts]
         shift = turn % len(chunk)
