--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -54,14 +54,15 @@
     return 1 if age_s > 2 * PATIENCE_LEASES * lease_s else 2
 
 
-def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[bool, int]:
-    """Whether no target of the job can be met any more, and how many are missed for certain."""
+def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[int, float | None]:
+    """How many targets of the job are missed for certain, and the age at which its last tasks must have
+    started to meet the next one; None when there is no such target."""
     if job.targets is None:
         job.targets = targets(job.spec, objectives)
     unstarted = job.spec.tasks > (job.progress.done | job.progress.claimed()).bit_count()
-    soonest = age_s + (job.spec.estimate_s if unstarted else 0.0)
-    missed = sum(soonest > target for target in job.targets)
-    return bool(missed) and missed == len(job.targets), missed
+    needed = job.spec.estimate_s if unstarted else 0.0
+    ahead = [target for target in job.targets if target >= age_s + needed]
+    return len(job.targets) - len(ahead), ahead[0] - needed if ahead else None
 
 
 def order(
@@ -69,12 +70,13 @@
 ) -> list[Job]:  # fmt: skip
     """Live jobs with tasks left, in the order in which they get room.
 
-    Oldest first, with these exceptions. What lies within its team's guarantee goes first, since it need not
-    wait for others; then priority, and jobs that have missed no target yet before those that have.
-    Jobs which cannot meet a target any more stand behind those which can: when a class comes faster than
-    its team's limit allows, plain age would make every job late. How long a job may stand back is
-    bounded: one that waited too long for its beginning stands in the line twice, in front for a part of its
-    tasks (`beginning`) and in its ordinary place for the rest.
+    Oldest first, where a job that has time to its next target counts as younger by the time that it can wait:
+    short jobs have little, and were late behind long ones (found on the bench). What lies within its team's
+    guarantee goes first, since it need not wait for others; then priority, and jobs that have missed no target
+    yet before those that have. Jobs which cannot meet a target any more stand behind those which can: when a
+    class comes faster than its team's limit allows, plain age would make every job late. How long a job may
+    stand back is bounded: one that waited too long for its beginning stands in the line twice, in front for a
+    part of its tasks (`beginning`) and in its ordinary place for the rest.
     """
     live = sorted((job for job in tables.jobs.values() if job.status == LIVE), key=lambda job: job.born)
     wanted: dict[str, tuple[float, float]] = {}
@@ -88,18 +90,19 @@
         back = standing_back(has_begun(job), age_s, settings.lease_s)
         team = settings.teams.get(spec.team)
         guaranteed = team is not None and within_guarantee(team, cores, gpus)
-        hopeless, missed = outlook(job, settings.objectives, age_s)
+        missed, start_by_s = outlook(job, settings.objectives, age_s)
         job.beginning = back == 0
         if job.beginning:
             keyed.append(((0, False, False, 0, 0, float(job.born)), job))
             back = 2
         if back < 2:
             key = (back, False, False, 0, 0, float(job.born))
-        elif hopeless:
+        elif missed and start_by_s is None:
             # Only the end of all work is at stake: the longest tasks first, so that none is left over.
             key = (back, True, False, 0, 0, -spec.estimate_s)
         else:
-            key = (back, False, not guaranteed, RANK[spec.priority], missed, float(job.born))
+            start_by = job.submitted_ms / 1000 + (start_by_s or 0.0)
+            key = (back, False, not guaranteed, RANK[spec.priority], missed, start_by)
         keyed.append((key, job))
     keyed.sort(key=lambda pair: pair[0])
     return [job for _, job in keyed]
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -76,6 +76,13 @@
     assert names == ["wk-000001", "wk-000004", "wk-000002", "wk-000003"]
 
 
+def test_a_job_with_little_time_goes_before_an_older_one_with_much(store: Store) -> None:
+    """Failure found on the bench: short jobs were late behind long ones of the same class."""
+    store.job(spec("wk-000001", expectedS=100.0, dueS=260.0, visits=5))
+    store.job(spec("wk-000002", expectedS=10.0, dueS=35.0, visits=5))
+    assert [job.spec.id for job in ready.order(store.tables, parse(SETTINGS), 0)] == ["wk-000002", "wk-000001"]
+
+
 def test_dealt_out_order_keeps_every_job_once(store: Store) -> None:
     for number in range(5):
         store.job(spec(f"wk-00000{number}"))
