--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -746,13 +746,15 @@
             free = self.tables.unallotted(limit)
             # Each change is a write: while much of the limit is free, whole parts of it are taken and kept.
             scarce = free[0] < 0.1 * limit.cpus_max or free[1] < 0.1 * limit.gpus_max
-            part = 0.0 if scarce else 1.0 / len(members)
-            ample = max(1.2 * use.cores, part * limit.cpus_max), max(1.2 * use.gpus, part * limit.gpus_max)
+            # Of a limit that is used up none holds more than it needs: what lay idle so, for the sake of a
+            # write, made checks late (found on the bench).
+            margin, part = (1.0, 0.0) if scarce else (1.2, 1.0 / len(members))
+            ample = max(margin * use.cores, part * limit.cpus_max), max(margin * use.gpus, part * limit.gpus_max)
             if use.cores > held[0] + quota.SLACK or use.gpus > held[1] + quota.SLACK:
                 self.surplus_since.pop(team, None)
                 if team in self.shrinking or free[0] > quota.SLACK or free[1] > quota.SLACK:
                     grow[team] = (max(ample[0], held[0]), max(ample[1], held[1]))
-            elif scarce and (ample[0] < 0.9 * held[0] or ample[1] < 0.9 * held[1]):
+            elif scarce and (ample[0] < 0.97 * held[0] or ample[1] < 0.97 * held[1]):
                 # Returned after a while: the next job of the team is likely to want it again.
                 if now - self.surplus_since.setdefault(team, now) > 2 * self.settings.report_s:
                     shrink[team] = (self.tables.stamp(t.team_key(team)), min(held[0], ample[0]), min(held[1], ample[1]))
