--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -10,7 +10,7 @@
 import logging
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -106,6 +106,7 @@
         self.unregistering: set[str] = set()
         self.groups_made = 0
         self.unknown: set[str] = set()
+        self.sleep: Callable[[float], Awaitable[None]] = anyio.sleep
         # A machine's row takes about a hundred bytes; a group stays well under the limit of a value.
         self.most_grouped = max(1, int(settings.value_kb * 1024 / 200))
         self.probing: dict[str, float] = {}
@@ -154,8 +155,9 @@
             started = self.now()
             with contextlib.suppress(Busy):
                 await self.ask(Tick())
-            # Under load the reports come first: a tick takes at most a quarter of the time.
-            await anyio.sleep(max(self.pace_s, 3 * (self.now() - started)))
+            # Under load the reports come first: a tick takes at most a quarter of the time, but leases and
+            # silent machines are looked after at least about as often as reports come.
+            await anyio.sleep(max(self.pace_s, min(3 * (self.now() - started), self.settings.report_s)))
 
     def _woken(self) -> None:
         self.wake.set()
@@ -449,7 +451,7 @@
     async def unregister_forever(self) -> None:
         """Takes deleted machines out of what is stored, many at a time."""
         while True:
-            await anyio.sleep(2 * self.settings.report_s)
+            await self.sleep(2 * self.settings.report_s)
             self.unregistering &= self.tables.machines.keys()
             keys = sorted({self.tables.machines[name].key for name in self.unregistering})[: self.settings.txn_ops]
             if not keys:
@@ -457,7 +459,8 @@
             conditions = {key: self.tables.stamp(key) for key in keys}
             writes = {}
             for key in keys:
-                names = self.tables.groups.get(key.removeprefix(t.group_key("")), set()) - self.unregistering
+                members = self.tables.groups.get(key.removeprefix(t.group_key("")), set())
+                names = (members & self.tables.machines.keys()) - self.unregistering
                 if names:
                     writes[key] = {"m": {name: self.tables.machines[name].stored() for name in sorted(names)}}
             await self.client.commit(conditions, writes, [key for key in keys if key not in writes], Urgency.PROGRESS)
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from sloeswitch import wire
@@ -352,6 +353,29 @@
     assert {f"vm-{number}" for number in range(100, 140)} <= world.store.tables.machines.keys()
 
 
+def test_deleted_machines_leave_their_group_and_the_last_one_ends_it(world: World) -> None:
+    rows = {f"vm-{number}": ["127.0.0.1:9000", "small", "a", True] for number in (7, 8, 9)}
+    world.store.put(t.group_key("c0.1.1"), {"m": rows})
+    assert {"vm-7", "vm-8", "vm-9"} <= world.store.tables.machines.keys()
+
+    async def unregister(*names: str) -> None:
+        world.machines.unregistering |= set(names)
+        with anyio.CancelScope() as scope:
+
+            async def pause(seconds: float) -> None:
+                if not world.machines.unregistering & world.store.tables.machines.keys():
+                    scope.cancel()
+                await anyio.lowlevel.checkpoint()
+
+            world.machines.sleep = pause
+            await world.machines.unregister_forever()
+
+    anyio.run(unregister, "vm-7", "vm-8")
+    assert "vm-9" in world.store.tables.machines and {"vm-7", "vm-8"} <= world.store.tables.deleted
+    anyio.run(unregister, "vm-9")
+    assert world.store.tables.stamp(t.group_key("c0.1.1")) == 0
+
+
 def test_machines_are_stored_one_by_one_while_a_controller_knows_no_groups(world: World) -> None:
     world.store.put(t.member_key("c1"), {"boot": 5, "settled": 0})
     beat(world, report(1, 0, name="vm-9"), received=False)
