--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -106,6 +106,24 @@
         self.machines._line_up()
         self.machines._place_waiting()
 
+    def steal(self) -> list[Steal]:
+        """What the machines actor asks the jobs actor for."""
+        asked: list[Steal] = []
+
+        async def ask(steal: Steal) -> None:
+            asked.append(steal)
+            self.machines.stealing = False
+
+        self.machines._ask_for = ask  # type: ignore[method-assign]
+
+        async def once() -> None:
+            async with anyio.create_task_group() as group:
+                self.machines.group = group
+                self.machines._steal()
+
+        anyio.run(once)
+        return asked
+
 
 @pytest.fixture
 def world(store: Store) -> Iterator[World]:
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -101,24 +101,10 @@
     job, again = ready.order(world.store.tables, world.settings, int((PATIENCE_LEASES * LEASE_S + 1) * 1000))
     assert job is again and job.beginning
     world.machines.line = [job]
-    asked: list[Steal] = []
-
-    async def ask(steal: Steal) -> None:
-        asked.append(steal)
-
-    world.machines._ask_for = ask  # type: ignore[method-assign]
-
-    async def steal() -> None:
-        async with anyio.create_task_group() as group:
-            world.machines.group = group
-            world.machines._steal()
-
-    anyio.run(steal)
-    assert asked[0].wants == {JOB: 2}
+    assert world.steal()[0].wants == {JOB: 2}
     # In its ordinary place it gets what room is left.
-    world.machines.line, world.machines.stealing = [job, job], False
-    anyio.run(steal)
-    assert asked[1].wants == {JOB: 16}
+    world.machines.line = [job, job]
+    assert world.steal()[0].wants == {JOB: 16}
 
 
 def test_a_job_claimed_and_placed_nowhere_has_not_begun(world: World) -> None:
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import anyio
-
 from sloeswitch.actors.jobs import Learnt, Steal
 from sloeswitch.core import tables as t
 from sloeswitch.state import Bucket, Urgency
@@ -58,22 +56,9 @@
 def surplus_given_up(world: World, allowances: dict[str, list[float]]) -> dict[str, float]:
     """What a controller with 8 cores in use gives up of its allowance after a while, by team."""
     world.store.put(t.team_key("red"), allowances)
-    asked: list[Steal] = []
-
-    async def ask(steal: Steal) -> None:
-        asked.append(steal)
-        world.machines.stealing = False
-
-    world.machines._ask_for = ask  # type: ignore[method-assign]
-
-    async def steal() -> None:
-        async with anyio.create_task_group() as group:
-            world.machines.group = group
-            world.machines._steal()
-
-    anyio.run(steal)
+    asked = world.steal()
     world.clock.time += 3 * world.settings.report_s
-    anyio.run(steal)
+    asked += world.steal()
     return {team: cores for steal in asked for team, (_, cores, _) in steal.shrink.items()}
 
 
