--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -226,6 +226,7 @@
             # Neither a sign of life nor worth an answer that could renew the machine's lease: our own books
             # go by newer reports. Were it the machine's last word after all, its next one is newer.
             return refuse(1)
+        was_heard = machine.heard
         try:
             heard = self.yard.hear(machine, report, True, now, standing.view.number, self.tables)
         except wire.Malformed as error:
@@ -236,6 +237,8 @@
             # Reports can arrive while nothing reaches the machine: until it is seen to have received an
             # answer it is told no start, so that no task waits there for its lease to run out.
             machine.reached = received
+            if received or not was_heard:
+                machine.reached_at = now
             self._after(machine, heard)
             self._fill(machine)
             orders = self.yard.orders(machine, self.tables, report.serial)
@@ -253,7 +256,8 @@
             log.error("report of %s: %s", report.machine, error)
             return
         if heard.fresh:
-            machine.reached = True  # it carried out what was sent, and its reply came
+            # It carried out what was sent, and its reply came.
+            machine.reached, machine.reached_at = True, self.now()
             self._after(machine, heard)
 
     def _after(self, machine: Machine, heard: Heard) -> None:
@@ -393,6 +397,13 @@
         failed = self.probe_failed.get(machine.name, 0)
         if silent > patience and failed >= 2 and self.standing.may_act and not self._blind(now):
             self._return(machine, "silent")
+        elif (
+            machine.heard and now - machine.reached_at > 2 * self.settings.lease_s
+            and self.standing.may_act and not self._blind(now)
+        ):  # fmt: skip
+            # Its reports come and nothing reaches it: by now its lease is over and it has nothing on it, and
+            # it would be paid for in vain for as long as that lasts.
+            self._return(machine, "unreached")
         elif self.health.machine_faulty(machine.name) and self.standing.may_act:
             machine.draining = True
             if not machine.attempts:
@@ -424,9 +435,11 @@
                 self._kill(machine, attempt, attempt.spec.save_s)
 
     def _blind(self, now: float) -> bool:
-        """Most machines silent at once points to our own network; then their leases must do."""
+        """Most machines silent or unreached at once points to our own network; then their leases must do."""
         heard = [machine for machine in self.yard.machines.values() if machine.heard]
-        late = sum(now - machine.heard_at > 2.2 * self.settings.report_s for machine in heard)
+        late = sum(
+            now - machine.heard_at > 2.2 * self.settings.report_s or not machine.reached for machine in heard
+        )  # fmt: skip
         return len(heard) > 3 and late > 0.75 * len(heard)
 
     def _return(self, machine: Machine, why: str) -> None:
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -73,6 +73,7 @@
     accounted: bool = False
     # Whether the last report came from a machine seen to have received the answer before it.
     reached: bool = False
+    reached_at: float = float("-inf")
     answered_at: float = float("-inf")
     heard_at: float = float("-inf")
     gone_at: float = float("inf")
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -144,6 +144,20 @@
     assert JOB not in world.machines.yard.placed
 
 
+def test_a_machine_that_nothing_reaches_is_returned_after_two_leases(world: World) -> None:
+    machine = world.machines.yard.machines["vm-1"]
+    returned: list[str] = []
+    world.machines._return = lambda machine, why: returned.append(why)  # type: ignore[method-assign]
+    serial = 3
+    for _ in range(int(2.5 * LEASE_S)):
+        later(world, 1.0)
+        beat(world, report(serial, 3), received=serial < 5)
+        serial += 1
+        world.machines._watch_over(machine, world.clock.time)
+        assert bool(returned) == (world.clock.time - machine.reached_at > 2 * LEASE_S)
+    assert returned and set(returned) == {"unreached"}
+
+
 def test_only_a_prompt_report_on_the_same_connection_shows_that_an_answer_came(world: World) -> None:
     users = Users(world.settings, world.client, world.replica, world.standing, world.jobs, world.machines)
     seen: list[bool] = []
