--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -324,7 +324,10 @@
     for name in names:
         world.store.job(spec(name, visits=1), t.WITHDRAWN)
         world.store.progress(name, c0_1=0b1)
+    world.store.job(spec("wk-000099"))
+    world.tell_jobs(Learnt(done={"wk-000099": 0b1}))
     world.tell_jobs(Learnt(released=dict.fromkeys(names, 1)))
+    world.clock.time += 20.0
     for _ in range(20):
         world.clock.time += 20.0
         world.round()
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -379,10 +379,11 @@
     # One machine of each of many full groups: more than one transaction takes.
     for group in range(12):
         rows = {
-            f"vm-{group}-{number:07d}": ["10.111.222.333:9000", "guayaba", "san-jose", True] for number in range(81)
+            f"vm-{group}-{number:012d}": ["10.111.222.133:9000", "guayaba-grande", "san-jose-oeste", True]
+            for number in range(81)
         }
         world.store.put(t.group_key(f"c0.1.{group + 2}"), {"m": rows})
-    lost = {f"vm-{group}-0000000" for group in range(12)}
+    lost = {f"vm-{group}-000000000000" for group in range(12)}
     anyio.run(unregister, *lost)
     assert lost <= world.store.tables.deleted and len(world.store.tables.machines) == 12 * 80 + 1
 
