--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -71,8 +71,10 @@
     """Live jobs with tasks left, in the order in which they get room.
 
     Oldest first, where a job that has time to its next target counts as younger by the time that it can wait:
-    short jobs have little, and were late behind long ones (found on the bench). What lies within its team's
-    guarantee goes first, since it need not wait for others; then priority, and jobs that have missed no target
+    short jobs have little, and were late behind long ones (found on the bench). What lay within its team's
+    guarantee when it came goes first, since it need not wait for others. It is decided once: of a team that has
+    more than its guarantee the oldest work is promised nothing, and counted as guaranteed it kept urgent jobs
+    waiting (found on the bench). Then priority, and jobs that have missed no target
     yet before those that have. Jobs which cannot meet a target any more stand behind those which can: when a
     class comes faster than its team's limit allows, plain age would make every job late. How long a job may
     stand back is bounded: one that waited too long for its beginning stands in the line twice, in front for a
@@ -89,7 +91,8 @@
         age_s = (wall_ms - job.submitted_ms) / 1000
         back = standing_back(has_begun(job), age_s, settings.lease_s)
         team = settings.teams.get(spec.team)
-        guaranteed = team is not None and within_guarantee(team, cores, gpus)
+        if job.guaranteed is None:
+            job.guaranteed = team is not None and within_guarantee(team, cores, gpus)
         missed, start_by_s = outlook(job, settings.objectives, age_s)
         job.beginning = back == 0
         if job.beginning:
@@ -102,7 +105,7 @@
             key = (back, True, False, 0, 0, -spec.estimate_s)
         else:
             start_by = job.submitted_ms / 1000 + (start_by_s or 0.0)
-            key = (back, False, not guaranteed, RANK[spec.priority], missed, start_by)
+            key = (back, False, not job.guaranteed, RANK[spec.priority], missed, start_by)
         job.rank = key[:-1]
         keyed.append((key, job))
     keyed.sort(key=lambda pair: pair[0])
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -136,6 +136,8 @@
     targets: list[float] | None = None
     # Whether it goes first just now since nothing of it has begun for long; only a part of it does.
     beginning: bool = False
+    # Whether it fitted its team's guarantee, with the team's earlier jobs, when it was first lined up.
+    guaranteed: bool | None = None
     # What its place in the line goes by besides age (see ready).
     rank: tuple[float, ...] = ()
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -83,6 +83,21 @@
     assert [job.spec.id for job in ready.order(store.tables, parse(SETTINGS), 0)] == ["wk-000002", "wk-000001"]
 
 
+def test_a_team_that_had_too_much_is_promised_nothing_for_what_is_left(store: Store) -> None:
+    """Failure found on the bench: with a backlog the oldest work of each team counted as guaranteed, whatever
+    its priority, and visits with little time waited behind refreshes."""
+    for number in range(1, 4):
+        store.job(spec(f"wk-{number:06d}", visits=4, urgency="best_effort"))  # 8 of the 8 cores guaranteed
+    store.job(spec("wk-000004", visits=4, urgency="critical"))
+
+    def line() -> list[str]:
+        return [job.spec.id for job in ready.order(store.tables, parse(SETTINGS), 1000)]
+
+    assert line() == ["wk-000001", "wk-000004", "wk-000002", "wk-000003"]
+    store.put(t.job_key("wk-000001"), {"s": t.DONE, "n": 4})
+    assert line() == ["wk-000004", "wk-000002", "wk-000003"]
+
+
 def test_dealt_out_order_keeps_every_job_once(store: Store) -> None:
     for number in range(5):
         store.job(spec(f"wk-00000{number}"))
