A controller that stood still deletes nothing on what it knew before

Deletions are checked again just before they are sent: inside the own lease, and only machines still owned (or, of those that the coordinator found listed, while it coordinates). Before, what was decided before a freeze was sent after it: no rule broken, since only a confirmed deletion is believed, but work of the new owner lost.

--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -54,7 +54,8 @@
         self.types: dict[str, wire.MachineType] = {}
         self.expected: dict[str, Expected] = {}
         self.refused: dict[Kind, float] = {}
-        self.returning: dict[str, None] = {}
+        # Machines on their way back; True for those that the coordinator gives back, whoever owns them.
+        self.returning: dict[str, bool] = {}
         self.wake = anyio.Event()
         self.bookings = 0
         self.listed_at = float("-inf")
@@ -63,14 +64,19 @@
 
     # -- returning
 
-    def give_back(self, machine: str) -> bool:
+    def give_back(self, machine: str, listed: bool = False) -> bool:
         """Has the machine deleted. False when that is under way already."""
         if machine in self.returning:
             return False
-        self.returning[machine] = None
+        self.returning[machine] = listed
         self.wake.set()
         return True
 
+    def _still_ours(self, machine: str) -> bool:
+        if self.returning[machine]:
+            return self.standing.coordinating
+        return self.standing.owner(machine) == self.settings.member
+
     async def return_forever(self) -> None:
         from sloeswitch.actors.machines import Deleted
 
@@ -78,6 +84,13 @@
             if not self.returning:
                 await self.wake.wait()
             self.wake = anyio.Event()
+            if not self.standing.may_act:
+                await anyio.sleep(self.settings.report_s / 4)
+                continue
+            # Guards against a controller that stood still, or lost the state service, since it decided: the
+            # machine may have another owner by now, and work on it.
+            for name in [name for name in self.returning if not self._still_ours(name)]:
+                del self.returning[name]
             batch = list(self.returning)[:100]
             if not batch:
                 continue
@@ -88,7 +101,7 @@
                 await anyio.sleep(self.settings.report_s)
                 continue
             for name in batch:
-                del self.returning[name]
+                self.returning.pop(name, None)
                 self.expected.pop(name, None)
             assert self.machines is not None
             self.machines.tell(Deleted(batch))
@@ -146,7 +159,7 @@
                 continue
             if item.state == "failed":
                 # It stopped on its own; deleting it accounts for its tasks.
-                self.give_back(item.id)
+                self.give_back(item.id, listed=True)
                 continue
             if item.id in self.tables.machines or item.id in self.expected:
                 continue
@@ -161,7 +174,7 @@
             elif kind is not None and age > 3 * kind.boot_s:
                 log.info("%s does not come up", name)
                 self.refused[item2.kind] = now + self.settings.list_lag_s
-                self.give_back(name)
+                self.give_back(name, listed=True)
 
     async def _rent(self) -> bool:
         """One booking, if one is needed. Whether there may be another; the cloud's rate paces them."""
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -11,12 +11,14 @@
 import pytest
 
 from sloeswitch import wire
+from sloeswitch.actors.fleet import Fleet
 from sloeswitch.actors.jobs import Steal
 from sloeswitch.actors.machines import Beat
 from sloeswitch.actors.users import Users
 from sloeswitch.core import ready
 from sloeswitch.core import tables as t
 from sloeswitch.core.ready import PATIENCE_LEASES
+from sloeswitch.core.rendezvous import owner
 from sloeswitch.http import Answer, Request
 from sloeswitch.mesh import Mesh
 from sloeswitch.settings import parse
@@ -400,3 +402,57 @@
 
     anyio.run(register)
     assert world.store.tables.machines["vm-9"].key == t.machine_key("vm-9")
+
+
+# -- a controller that stood still
+
+
+class Cloud:
+    """Takes deletions and says which."""
+
+    def __init__(self) -> None:
+        self.deleted: list[str] = []
+
+    async def delete(self, machines: list[str]) -> None:
+        self.deleted += machines
+
+
+def deletions(world: World, fleet: Fleet) -> list[str]:
+    async def run() -> None:
+        with anyio.CancelScope() as scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(fleet.return_forever)
+                await anyio.wait_all_tasks_blocked()
+                scope.cancel()
+
+    anyio.run(run)
+    assert isinstance(fleet.cloud, Cloud)
+    return fleet.cloud.deleted
+
+
+def test_after_a_freeze_no_machine_is_deleted_on_what_was_known_before(world: World) -> None:
+    cloud: Any = Cloud()
+    fleet = Fleet(world.settings, world.client, cloud, world.replica, world.standing, world.clock)
+    fleet.machines = world.machines
+    both = (("c0", 1), ("c1", 2))
+    name = next(f"vm-{number}" for number in range(99) if owner(f"vm-{number}", both) == "c1")
+    fleet.give_back(name)
+    world.clock.time += 2 * world.settings.controller_lease_s
+    assert deletions(world, fleet) == []  # its lease is over
+    # Awake again, it learns that the machine has another owner.
+    world.store.view(4, *both)
+    later(world, 0.0)
+    assert deletions(world, fleet) == [] and not fleet.returning
+    world.store.view(5, ("c0", 1))
+    fleet.give_back(name)
+    assert deletions(world, fleet) == [name]
+
+
+def test_after_a_freeze_nothing_is_answered_claimed_or_settled_on_what_was_known_before(world: World) -> None:
+    world.store.job(spec(visits=1))
+    world.clock.time += 2 * world.settings.controller_lease_s
+    assert beat(world, report(3, 3)).status == 503
+    assert not world.standing.may_act and not world.standing.coordinating
+    epoch = world.store.epoch
+    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    assert world.store.epoch == epoch
