Tasks released and claimed again between two ticks are run

The machines actor notes tasks as being released until the tables show their claim gone; claimed again in the next round, before its next tick, they looked as before, and were neither placed nor released for as long as that run lived.

Now what a request for work takes is no longer being released, whether or not its write went through. Ruled out: lost completions (none of these tasks was ever placed), allowances, faulty jobs.

--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -42,6 +42,8 @@
     # Teams whose allowance is to be written even if it stays, so that an earlier write fails for certain.
     rewrite: set[str] = field(default_factory=set)
     zones: dict[str, str] = field(default_factory=dict)
+    # What was taken, as sets of tasks by job: free until then, whether or not the write went through.
+    gained: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass
@@ -350,8 +352,10 @@
             return False
         tag = self.standing.tag
         progress.claims[tag] = progress.claims.get(tag, 0) | gained
-        if steal is not None and spec.id in steal.zones and progress.zone is None:
-            progress.zone = steal.zones[spec.id]
+        if steal is not None:
+            steal.gained[spec.id] = gained
+            if spec.id in steal.zones and progress.zone is None:
+                progress.zone = steal.zones[spec.id]
         return True
 
     def _put(
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -854,5 +854,10 @@
         except Busy:
             pass
         finally:
+            # Claimed anew, so not being released any more. Found on the bench: tasks were released and claimed
+            # again between two ticks, counted as on their way to others, and were never run by anybody.
+            for name, tasks in steal.gained.items():
+                if name in self.releasing:
+                    self.releasing[name] &= ~tasks
             self.stealing = False
             self.wake.set()
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -367,3 +367,29 @@
 def test_leases_are_reckoned_by_a_clock_that_runs_on_within_a_turn_of_the_loop() -> None:
     """uvloop's own time is that of the turn's beginning, which a freeze may put long ago."""
     assert controller.now is time.monotonic
+
+
+def test_tasks_released_and_claimed_again_between_two_ticks_are_run(world: World) -> None:
+    """Failure found on the bench: their claim looked like the one being released, for ever."""
+    machine_up(world)
+    world.store.job(spec(visits=2))
+    world.store.progress(JOB, c0_1=0b11)
+    world.store.put(t.team_key("red"), {"c0.1": [8.0, 0.0]})
+    world.machines._release(JOB, 0b11)
+    world.tell_jobs(world.machines.learnt)
+    world.machines.learnt = Learnt()
+    world.clock.time += 2 * world.jobs.batch_s
+
+    async def rounds() -> None:
+        await world.jobs._round()
+        assert not world.store.tables.jobs[JOB].progress.claims
+        async with anyio.create_task_group() as group:
+            group.start_soon(world.machines._ask_for, Steal(wants={JOB: 2}))
+            await anyio.wait_all_tasks_blocked()
+            await world.jobs.handle(world.jobs._inbox.popleft())
+            await world.jobs._round()
+
+    anyio.run(rounds)
+    assert world.store.tables.jobs[JOB].progress.claims == {"c0.1": 0b11}
+    world.machines._prune_told()
+    assert world.machines._idle_claims(world.store.tables.jobs[JOB]) == 0b11
