--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -59,10 +59,11 @@
     started to meet the next one; None when there is no such target."""
     if job.targets is None:
         job.targets = targets(job.spec, objectives)
-    unstarted = job.spec.tasks > (job.progress.done | job.progress.claimed()).bit_count()
-    needed = job.spec.estimate_s if unstarted else 0.0
-    ahead = [target for target in job.targets if target >= age_s + needed]
-    return len(job.targets) - len(ahead), ahead[0] - needed if ahead else None
+    needed = job.spec.estimate_s if job.unstarted else 0.0
+    for missed, target in enumerate(job.targets):
+        if target >= age_s + needed:
+            return missed, target - needed
+    return len(job.targets), None
 
 
 def order(
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -138,6 +138,8 @@
     beginning: bool = False
     # Whether it fitted its team's guarantee, with the team's earlier jobs, when it was first lined up.
     guaranteed: bool | None = None
+    _reckoned: Progress | None = None
+    _unstarted: bool = True
     # What its place in the line goes by besides age (see ready).
     rank: tuple[float, ...] = ()
 
@@ -145,6 +147,14 @@
     def everything(self) -> int:
         return taskset.full(self.spec.tasks)
 
+    @property
+    def unstarted(self) -> bool:
+        """Whether a task is neither done nor claimed. Reckoned once for each progress that is stored."""
+        if self._reckoned is not self.progress:
+            self._reckoned = self.progress
+            self._unstarted = self.everything != self.progress.done | self.progress.claimed()
+        return self._unstarted
+
     @property
     def left(self) -> int:
         return self.spec.tasks - self.progress.done.bit_count()
