--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -13,6 +13,7 @@
 from sloeswitch.actors.jobs import Jobs, Learnt, Steal
 from sloeswitch.actors.machines import Beat, Machines
 from sloeswitch.actors.membership import Membership, Standing
+from sloeswitch.core import ready
 from sloeswitch.core import tables as t
 from sloeswitch.settings import parse
 from sloeswitch.state import Outcome, Replica, StateClient
@@ -405,7 +406,6 @@
         world.store.job(spec(name, kit=kit, urgency=urgency, visits=2, cores=1.0, dueS=900.0))
         world.store.progress(name, c0_1=0b11)
     world.store.put(t.team_key("red"), {"c0.1": [20.0, 0.0]})
-    world.machines._line_up()
-    world.machines.idle_line = list(world.machines.line)
+    world.machines.idle_line = ready.order(world.store.tables, world.settings, 1000)
     started = [start.task[:9] for start in world.beat(report(3, 3)).orders]
     assert started == ["wk-000003"] * 2 + ["wk-000002"] * 2 + ["wk-000001"] * 2
