--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -665,11 +665,9 @@
         room = self._room(machine, now)
         if room is None:
             return
-        # Among jobs that differ by age alone, whose image is here may go first: it saves a fetch and bends the
-        # order among a few only. Found on the bench: whatever their rank, refreshes went before urgent visits.
-        for job in sorted(
-            self.idle_line, key=lambda job: (not job.beginning, job.rank, job.spec.image not in room.images)
-        ):
+        # Little is claimed ahead, so that whose image is here may go first: it saves a fetch and bends the
+        # order among a few only.
+        for job in sorted(self.idle_line, key=lambda job: (not job.beginning, job.spec.image not in room.images)):
             if room.count(job.spec) and job.status == LIVE and not job.spec.gang:
                 waiting = self._idle_claims(job)
                 if waiting and not self.health.paused(job.spec.id, now):
