--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -11,6 +11,7 @@
 import pytest
 
 from sloeswitch import wire
+from sloeswitch.actors.base import BATCH, Actor, Busy
 from sloeswitch.actors.fleet import Fleet
 from sloeswitch.actors.jobs import Steal
 from sloeswitch.actors.machines import Beat
@@ -456,3 +457,72 @@
     epoch = world.store.epoch
     world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
     assert world.store.epoch == epoch
+
+
+# -- a fleet at once
+
+
+def test_a_report_with_one_bad_entry_among_hundreds_is_refused_and_named_once(
+    world: World, caplog: pytest.LogCaptureFixture
+) -> None:
+    tasks = [(f"{JOB}/{index}", 1, "running") for index in range(300)]
+    for serial in range(3, 9):
+        assert beat(world, report(serial, 3, *tasks, ("nonsense", 1, "running"))).status == 400
+    assert sum("vm-1" in record.getMessage() for record in caplog.records) == 1
+    assert beat(world, report(9, 3)).status == 200
+
+
+def test_a_take_over_asks_few_machines_at_once_and_all_in_the_end(world: World) -> None:
+    asked: list[str] = []
+    most = 0
+
+    async def run() -> None:
+        nonlocal most
+        under_way = 0
+        go = anyio.Event()
+
+        async def send(machine: Any) -> None:
+            nonlocal under_way, most
+            under_way += 1
+            most = max(most, under_way)
+            await go.wait()
+            under_way -= 1
+            asked.append(machine.name)
+
+        world.machines._send_orders = send  # type: ignore[method-assign]
+        async with anyio.create_task_group() as group:
+            world.machines.group = group
+            for number in range(400):
+                machine = world.machines.yard.take(f"vm-{number + 100}", "127.0.0.1:9000", "small", "a", True, 3, 9e9)
+                world.machines._probe(machine, world.clock.time)
+            await anyio.wait_all_tasks_blocked()
+            go.set()
+
+    anyio.run(run)
+    assert len(asked) == 400 and most <= world.settings.fd_limit / 8
+
+
+def test_an_actor_lets_others_have_their_turn_and_says_when_it_is_full() -> None:
+    handled: list[int] = []
+    turns = 0
+
+    class Counting(Actor):
+        async def handle(self, message: Any) -> None:
+            handled.append(message)
+
+    async def run() -> None:
+        nonlocal turns
+        actor = Counting(most=100)
+        for number in range(100):
+            actor.tell(number)
+        with pytest.raises(Busy):
+            actor.tell(100)
+        async with anyio.create_task_group() as group:
+            group.start_soon(actor.run)
+            while len(handled) < 100:
+                turns += 1
+                await anyio.lowlevel.checkpoint()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert handled == list(range(100)) and turns > 100 / BATCH
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from sloeswitch.http import Answer, Connection, Request, Server
+from sloeswitch.http import Answer, Connection, Head, Request, Server
 
 
 class Pipe:
@@ -134,3 +134,63 @@
 def test_head_gets_the_length_and_no_body() -> None:
     sent = talk(b"HEAD /b HTTP/1.1\r\nHost: x\r\n\r\n")
     assert sent.startswith(b"HTTP/1.1 200") and sent.endswith(b"\r\n\r\n")
+
+
+class Mute:
+    """A client that sends what it is given and then nothing more."""
+
+    def __init__(self, *chunks: bytes) -> None:
+        self.chunks = list(chunks)
+        self.sent = b""
+        self.closed = anyio.Event()
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        if self.chunks:
+            return self.chunks.pop(0)
+        await self.closed.wait()
+        raise anyio.ClosedResourceError
+
+    async def send(self, data: bytes) -> None:
+        self.sent += data
+
+    async def aclose(self) -> None:
+        self.closed.set()
+
+
+def test_half_sent_requests_on_all_connections_make_way_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nobody can keep the workers out by beginning requests and never ending them."""
+    clock = [0.0]
+    turn = [anyio.Event()]
+
+    async def pause(seconds: float) -> None:
+        await turn[0].wait()
+
+    async def sweep() -> None:
+        event, turn[0] = turn[0], anyio.Event()
+        event.set()
+        await anyio.wait_all_tasks_blocked()
+
+    monkeypatch.setattr("sloeswitch.http.anyio.sleep", pause)
+    server = Server(echo, idle_s=60, request_s=10, most_connections=3, now=lambda: clock[0])
+    server.heads[POST] = Head("POST", "/b", 2)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.sweep_forever)
+            clients: list[Any] = [Mute(b"GET /a HT"), Mute(POST + b"h"), Mute(b"POST /b HTTP/1.1\r\nHost: x\r\n")]
+            for client in clients:
+                group.start_soon(server.serve, client)
+            await anyio.wait_all_tasks_blocked()
+            clock[0] = 9.0
+            await sweep()
+            assert len(server.open) == 3
+            clock[0] = 11.0
+            await sweep()
+            assert not server.open and all(client.closed.is_set() for client in clients)
+            late: Any = Mute(POST + b"hi")
+            group.start_soon(server.serve, late)
+            await anyio.wait_all_tasks_blocked()
+            assert late.sent.startswith(b"HTTP/1.1 200")
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
