--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -636,12 +636,13 @@
         now = self.now()
         self.idle_line = []
         seen: set[str] = set()
+        tag = self.standing.tag
         for job in self.line:
-            if job.spec.id in seen:
-                continue
-            seen.add(job.spec.id)
-            waiting = self._idle_claims(job)
             name = job.spec.id
+            if name in seen:
+                continue
+            seen.add(name)
+            waiting = self._idle_claims(job) if tag in job.progress.claims else 0
             if not waiting:
                 self.waiting_since.pop(name, None)
                 continue
@@ -738,6 +739,8 @@
         turn = members.index(self.settings.member)
         self.met = {job.spec.id: self.met.get(job.spec.id, now) for job in self.line}
         for job in ready.dealt(self.line, len(members), turn, self._at_home):
+            if not rooms and ahead_cores < self.least_cores:
+                break  # nobody further back can get anything: with a backlog the line is long, and looked at often
             spec = job.spec
             name = spec.id
             if spec.team not in useful:
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import compress, takewhile
 
 from sloeswitch.core.quota import within_guarantee
 from sloeswitch.core.tables import LIVE, Job, Tables
@@ -128,21 +129,19 @@
 WINDOW = 4
 
 
-def dealt(jobs: list[Job], parts: int, turn: int, home: Callable[[Job], bool]) -> list[Job]:
+def dealt(jobs: list[Job], parts: int, turn: int, home: Callable[[Job], bool]) -> Iterator[Job]:
     """The order in which one of `parts` controllers claims. Among jobs next to each other that differ by age
     alone, a few at a time, those whose image is at home with it come first: each controller's machines then
     fetch a part of the images only, and a job is mostly one controller's. The others are dealt out."""
-    found: list[Job] = []
-    window: list[Job] = []
-
-    def close() -> None:
-        found.extend(job for job in window if home(job))
-        found.extend(rotated([job for job in window if not home(job)], parts, turn))
-        window.clear()
-
-    for job in jobs:
-        if window and (len(window) == WINDOW * parts or job.rank != window[0].rank):
-            close()
-        window.append(job)
-    close()
-    return found
+
+    def window_from(start: int) -> list[Job]:
+        most = jobs[start : start + WINDOW * parts]
+        return list(takewhile(lambda job: job.rank == most[0].rank, most))
+
+    start = 0
+    while start < len(jobs):
+        window = window_from(start)
+        start += len(window)
+        at_home = [home(job) for job in window]
+        yield from compress(window, at_home)
+        yield from rotated([job for job, here in zip(window, at_home, strict=True) if not here], parts, turn)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from sloeswitch.actors.jobs import Learnt, Steal
 from sloeswitch.core import tables as t
 from sloeswitch.state import Bucket, Urgency
@@ -79,3 +81,22 @@
     store.job(spec())
     world.round(Steal(wants={"wk-000001": 4}, grow={"red": (8.0, 0.0)}))
     assert surplus_given_up(world, {"c0.1": [12.0, 0.0]}) == {}
+
+
+def test_a_long_line_is_not_looked_through_when_nothing_is_free(store: Store, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Failure found on the bench: with hundreds of jobs waiting most of the processor time went into this."""
+    world = World(store)
+    machine_up(world)
+    for number in range(200):
+        store.job(spec(f"wk-{number:06d}"))
+    store.put(t.team_key("red"), {"c0.1": [20.0, 0.0]})
+    looked: list[str] = []
+    open_tasks = store.tables.open_tasks
+
+    def look(job: t.Job, settled: bool) -> int:
+        looked.append(job.spec.id)
+        return open_tasks(job, settled)
+
+    monkeypatch.setattr(store.tables, "open_tasks", look)
+    world.machines._line_up()
+    assert world.steal()[0].wants and len(looked) < 20
