--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -236,7 +236,7 @@
         settled = self.tables.all_settled()
         backlog = self.machines.startable([
             job.spec for job in self.tables.jobs.values()
-            if job.status == t.LIVE and self.tables.open_tasks(job, settled)
+            if job.runnable and self.tables.open_tasks(job, settled)
         ])  # fmt: skip
         for machine in list(self.machines.yard.machines.values()):
             kind = self.tables.types.get(machine.type)
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -67,9 +67,19 @@
     sets[job] = sets.get(job, 0) | tasks
 
 
-def stored_job(status: str, spec: wire.JobSpec, submitted_ms: int) -> dict[str, Any]:
+def stored_job(
+    status: str, spec: wire.JobSpec, submitted_ms: int, parts: tuple[str, int] | None = None
+) -> dict[str, Any]:
     """A job that is not over, as it is stored."""
-    return {"s": status, "n": spec.tasks, "t": submitted_ms, "spec": msgspec.to_builtins(spec)}
+    value: dict[str, Any] = {"s": status, "n": spec.tasks, "t": submitted_ms}
+    if parts is not None:
+        return {**value, "parts": list(parts)}
+    return {**value, "spec": msgspec.to_builtins(spec)}
+
+
+def stored_end(status: str, spec: wire.JobSpec) -> dict[str, Any]:
+    """A job that is over. The time is that from which the times of jobs that await it count."""
+    return {"s": status, "n": spec.tasks, "t": int(time.time() * 1000)}
 
 
 @dataclass
@@ -105,9 +115,11 @@
         # Others wait longer: until they are stored the worker reports them again to whoever asks. What is
         # lost with a machine in that time is done once more, which costs less than the writes.
         self.lazy_s = settings.lease_s
-        self.largest = int(settings.value_kb * 1024 * 0.9)
         # Values of a round beyond this size may leave no place for another one in a transaction.
-        self.most_bytes = max(0, int(0.8 * wire.MAX_BODY) - self.largest)
+        self.most_bytes = max(0, int(0.8 * wire.MAX_BODY) - settings.value_bytes)
+        self.tries = 0
+        # When parts of a spec without a job were first seen.
+        self.lone_since: dict[tuple[str, str], float] = {}
 
     # -- messages
 
@@ -183,7 +195,6 @@
         settled = self.tables.all_settled()
         conditions: dict[str, int] = {}
         writes: dict[str, Any] = {}
-        drops: list[str] = []
         claimed = False
         size = 0
         teams: dict[str, dict[str, tuple[float, float]]] = {}
@@ -211,11 +222,10 @@
             team = job.spec.team
             adopting = name in self.unstored and self.unstored[name].adopted
             done = job.progress.done | (self.unstored[name].done if name in self.unstored else 0)
-            # What ends a job takes two changes, also when it was cancelled. Found on the bench: counted as
-            # one, it made a transaction larger than the state service takes.
-            ends = done == job.everything or job.status == WITHDRAWN
-            cost = (2 if ends else 1) + (1 if adopting and team not in teams else 0)
-            if len(writes) + len(drops) + cost > room or size > self.most_bytes:
+            if done == job.everything:
+                adopting = False
+            cost = 1 + (1 if adopting and team not in teams else 0)
+            if len(writes) + cost > room or size > self.most_bytes:
                 break
             if adopting:
                 # The task's part of the limit comes with it, in the same transaction.
@@ -231,24 +241,24 @@
             if voiding:
                 claimed = True  # relies on the view
             gained = False
-            if want and job.status == LIVE:
+            if want and job.runnable:
                 gained = self._claim(job, progress, want, steal)
             if gained or adopting:
                 claimed = True
-            size += self._put(job, progress, conditions, writes, drops)
+            size += self._put(job, progress, conditions, writes)
         for team, held in teams.items():
             value = {tag: list(amounts) for tag, amounts in held.items() if amounts[0] > 0 or amounts[1] > 0}
             if held != self.tables.allowances.get(team, {}) or (steal is not None and team in steal.rewrite):
                 writes[t.team_key(team)] = value
                 conditions[t.team_key(team)] = self.tables.stamp(t.team_key(team))
                 claimed = True
-        if not writes and not drops:
+        if not writes:
             if steal is not None:
                 steal.reply(False)
             return
         if claimed:
             conditions.update(self.standing.claim_conditions())
-        outcome, _epoch = await self.client.commit(conditions, writes, drops, urgency, paid=paid)
+        outcome, _epoch = await self.client.commit(conditions, writes, [], urgency, paid=paid)
         if outcome is not Outcome.DONE:
             log.debug("stored nothing of %d values: %s", len(conditions), outcome.value)
         with contextlib.suppress(Stale):
@@ -274,16 +284,29 @@
         adopting.sort(key=lambda name: self.tables.jobs[name].spec.team)
         wanted = list(steal.wants) if steal is not None else []
         pairs = itertools.zip_longest(wanted, adopting)
-        names = dict.fromkeys(name for pair in pairs for name in pair if name is not None)
+        taken = [name for pair in pairs for name in pair if name is not None]
         now = self.now()
+        ending: list[str] = []
+        others: list[str] = []
         for name, note in self.unstored.items():
-            if now - note.since >= (self.batch_s if self._runs_dry(name, note) else self.lazy_s):
-                names[name] = None
+            if now - note.since >= self._patience_s(name, note):
+                job = self.tables.jobs.get(name)
+                ends = job is not None and job.everything == job.progress.done | note.done
+                (ending if ends else others).append(name)
+        # Ends of jobs come first, those that others wait for before all. Where a transaction takes few changes
+        # claims alone would fill every round, and jobs that are done would not be told so.
+        ending.sort(key=lambda name: name not in self.tables.graph.successors)
         settled = self.tables.all_settled()
         for name, job in self.tables.jobs.items():
-            if job.status == WITHDRAWN and self._withdrawn_over(job, settled):
-                names[name] = None
-        return list(names)
+            if job.cancelled and self._withdrawn_over(job, settled):
+                others.append(name)
+        return list(dict.fromkeys([*ending, *taken, *others]))
+
+    def _patience_s(self, name: str, note: Unstored) -> float:
+        """How long what is learnt of a job waits for company."""
+        if not self._runs_dry(name, note):
+            return self.lazy_s
+        return 0.0 if name in self.tables.graph.successors else self.batch_s
 
     def _pressing(self) -> bool:
         """Whether somebody waits for what is learnt: adoptions hold up the view, and users expect to be
@@ -358,35 +381,30 @@
                 progress.zone = steal.zones[spec.id]
         return True
 
-    def _put(
-        self, job: Job, progress: Progress, conditions: dict[str, int], writes: dict[str, Any], drops: list[str]
-    ) -> int:
-        """Adds what is to be stored of the job to a transaction, and tells about how many bytes that is."""
+    def _put(self, job: Job, progress: Progress, conditions: dict[str, int], writes: dict[str, Any]) -> int:
+        """Adds what is to be stored of the job to a transaction, and tells about how many bytes that is. The
+        progress of a job that is over is dropped later (see _clear_away): its end should be one change."""
         name = job.spec.id
         job_key, progress_key = t.job_key(name), t.progress_key(name)
-        conditions[job_key] = job.stamp
-        conditions[progress_key] = job.progress_stamp
+        known = {job_key: job.stamp, progress_key: job.progress_stamp}
         if job.status == LIVE and progress.done == job.everything:
-            writes[job_key] = {"s": DONE, "n": job.spec.tasks}
-            if job.progress_stamp:
-                drops.append(progress_key)
-            return 0
-        if job.status == WITHDRAWN and not progress.claims:
-            writes[job_key] = {"s": WITHDRAWN, "n": job.spec.tasks}
-            if job.progress_stamp:
-                drops.append(progress_key)
-            return 0
-        value = progress.stored()
-        if value == job.progress.stored():
-            del conditions[job_key], conditions[progress_key]
-            return 0
-        size = len(wire.encode(value))
-        if size > self.largest:
-            log.error("progress of %s is too scattered to be stored now", name)
-            del conditions[job_key], conditions[progress_key]
-            return 0
-        writes[progress_key] = value
-        return size
+            writes[job_key] = stored_end(DONE, job.spec)
+        elif job.cancelled and not progress.claims:
+            writes[job_key] = stored_end(WITHDRAWN, job.spec)
+        else:
+            dense = self.tables.upgraded
+            value = progress.stored(dense)
+            if value == job.progress.stored(dense):
+                return 0
+            size = len(wire.encode(value))
+            if size > self.client.value_bytes:
+                log.error("progress of %s is too scattered to be stored now", name)
+                return 0
+            writes[progress_key] = value
+            conditions.update(known)
+            return size
+        conditions.update(known)
+        return 0
 
     def _tidy(self) -> None:
         """Forgets what the tables hold by now."""
@@ -410,11 +428,21 @@
     async def submit(self, spec: wire.JobSpec) -> tuple[str, bool] | None:
         """Accepts a job. Its status and whether it is new, or None when it cannot be stored now."""
         key = t.job_key(spec.id)
-        value = stored_job(LIVE, spec, int(time.time() * 1000))
-        outcome, _epoch = await self.client.commit({key: 0}, {key: value}, [], Urgency.USER)
+        now_ms = int(time.time() * 1000)
+        value = stored_job(LIVE, spec, now_ms)
+        conditions = {key: 0}
+        if len(wire.encode(value)) > self.client.value_bytes:
+            # An earlier layout reads no parts.
+            head = await self._store_parts(spec) if self.tables.upgraded else None
+            if head is None:
+                return None
+            attempt, count, stamp = head
+            value = stored_job(LIVE, spec, now_ms, (attempt, count))
+            conditions[t.part_key(spec.id, attempt, 0)] = stamp
+        outcome, _epoch = await self.client.commit(conditions, {key: value}, [], Urgency.USER)
         if outcome is Outcome.DONE:
             self.replica.hint()
-            return wire.QUEUED, True
+            return self.status(spec.id) or self._first_status(spec), True
         if outcome is Outcome.REFUSED:
             return None
         # Somebody stored it before us, or the answer was lost: read what is there.
@@ -425,6 +453,75 @@
         status = self.status(spec.id)
         return None if status is None else (status, False)
 
+    def _first_status(self, spec: wire.JobSpec) -> str:
+        """What a job that was just accepted is: cancelled at once if it names a cancelled one."""
+        gone = any(self.status(name) == wire.CANCELLED for name in spec.awaits)
+        return wire.CANCELLED if gone else wire.QUEUED
+
+    async def _store_parts(self, spec: wire.JobSpec) -> tuple[str, int, int] | None:
+        """Stores a spec that fits no value in parts, the first part last: its name, how many there are and the
+        stamp of the first, or None. The job's row is written on condition of that stamp, so that no job is
+        accepted whose parts were taken for left over (see _clear_away)."""
+        self.tries += 1
+        attempt = f"{self.standing.tag}.{self.tries}"
+        texts = t.pack_spec(spec, self.client.value_bytes)
+        keys = [t.part_key(spec.id, attempt, number) for number in range(len(texts))]
+        left = list(zip(keys, texts, strict=True))
+        most = max(1, min(self.client.txn_ops, self.most_bytes // self.client.value_bytes))
+        while left:
+            batch = dict(left[-most:])
+            del left[-most:]
+            outcome, _epoch = await self.client.commit(dict.fromkeys(batch, 0), batch, [], Urgency.USER)
+            if outcome is not Outcome.DONE:
+                return None
+        try:
+            await self.replica.fresh(self.client.timeout_s)
+        except Stale:
+            return None
+        stored = self.tables.parts.get(spec.id, {}).get(attempt, {})
+        return (attempt, len(texts), self.tables.stamp(keys[0])) if len(stored) == len(texts) else None
+
+    # -- what is left over
+
+    async def tidy_forever(self) -> None:
+        while True:
+            await anyio.sleep(self.settings.report_s)
+            try:
+                if self.replica.loaded and self.standing.coordinating:
+                    await self._clear_away()
+            except Exception:
+                log.exception("while clearing away")
+
+    async def _clear_away(self) -> None:
+        """Drops the progress of jobs that are over, and parts of specs that are no job's. Guards against the
+        parts of a submission whose controller ended, or that another one was quicker with, being kept for
+        ever. All on condition of the first part, which is stored last and dropped first, and of the job's row:
+        either this fails or a submission under way does."""
+        now = self.now()
+        most = self.client.most_changes(Urgency.PROGRESS)
+        drops = [t.progress_key(name) for name in itertools.islice(self.tables.leftover, most)]
+        conditions: dict[str, int] = {}
+        lone: dict[tuple[str, str], float] = {}
+        for name, attempts in self.tables.parts.items():
+            job = self.tables.jobs.get(name)
+            over = name in self.tables.over
+            for attempt, texts in attempts.items():
+                if job is not None and job.parts is not None and job.parts[0] == attempt:
+                    continue
+                since = lone[name, attempt] = self.lone_since.get((name, attempt), now)
+                if len(drops) >= most or not (over or now - since > 4 * self.settings.lease_s):
+                    continue
+                if not over:
+                    first = t.part_key(name, attempt, 0)
+                    conditions[first] = self.tables.stamp(first)
+                    conditions[t.job_key(name)] = 0 if job is None else job.stamp
+                drops += [t.part_key(name, attempt, number) for number in sorted(texts)][: most - len(drops)]
+        self.lone_since = lone
+        if drops:
+            conditions.update({key: self.tables.stamp(key) for key in drops})
+            await self.client.commit(conditions, {}, drops, Urgency.PROGRESS)
+            self.replica.hint()
+
     async def cancel(self, name: str) -> str | None:
         """Cancels a job: the final status, "" when there is no such job, None when it cannot be stored now."""
         for _ in range(4):
@@ -439,11 +536,17 @@
                 if self.status(name) is None:
                     return ""
                 continue
-            if job.status == WITHDRAWN:
+            if job.cancelled:
                 return wire.CANCELLED
             key = t.job_key(name)
-            value = stored_job(WITHDRAWN, job.spec, job.submitted_ms)
-            outcome, _epoch = await self.client.commit({key: job.stamp}, {key: value}, [], Urgency.USER)
+            conditions = {key: job.stamp}
+            if job.progress_stamp:
+                value = stored_job(WITHDRAWN, job.spec, job.submitted_ms, job.parts)
+            else:
+                # Never claimed, so nowhere: it is over with the same change.
+                value = stored_end(WITHDRAWN, job.spec)
+                conditions[t.progress_key(name)] = 0
+            outcome, _epoch = await self.client.commit(conditions, {key: value}, [], Urgency.USER)
             if outcome is Outcome.DONE:
                 self.replica.hint()
                 return wire.CANCELLED
@@ -459,10 +562,10 @@
         """The status that the tables tell, in the users' words."""
         over = self.tables.over.get(name)
         if over is not None:
-            return wire.DONE if over[0] == DONE else wire.CANCELLED
+            return wire.DONE if over.done else wire.CANCELLED
         job = self.tables.jobs.get(name)
         if job is None:
             return None
-        if job.status == WITHDRAWN:
+        if job.cancelled:
             return wire.CANCELLED
         return wire.RUNNING if any(job.progress.claims.values()) else wire.QUEUED
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -65,8 +65,6 @@
     return int(time.time() * 1000)
 
 
-# A machine's stored row takes about half as many bytes.
-ROW_BYTES = 200
 # Machines that are not needed are emptied once no more than this part of them is in use.
 LEAN = 0.5
 
@@ -110,8 +108,6 @@
         self.unknown: set[str] = set()
         self.broken: set[str] = set()
         self.sleep: Callable[[float], Awaitable[None]] = anyio.sleep
-        # A group stays well under the limit of a value.
-        self.most_grouped = max(1, int(settings.value_kb * 1024 / ROW_BYTES))
         self.probing: dict[str, float] = {}
         self.probe_failed: dict[str, int] = {}
         # A controller that takes over hundreds of machines asks each of them; sockets are for workers first.
@@ -378,11 +374,12 @@
         live = [job for job in self.tables.jobs.values() if job.status == LIVE]
         log.info(
             "%d machines up (%d not to be used), %.0f of %.0f cores in use, %d tasks placed, %d fetching;"
-            " %d jobs live, %d of them with work open",
+            " %d jobs live, %d of them wait for others, %d have work open",
             len(machines), sum(not self.yard.usable(m) for m in machines), sum(m.use.cores for m in machines),
             sum(self.tables.types[m.type].cores for m in machines), sum(len(m.attempts) for m in machines),
             sum(attempt.state == FETCHING for m in machines for attempt in m.attempts.values()), len(live),
-            sum(bool(self.tables.open_tasks(job, self.tables.all_settled())) for job in live),
+            sum(not job.runnable for job in live),
+            sum(job.runnable and bool(self.tables.open_tasks(job, self.tables.all_settled())) for job in live),
         )  # fmt: skip
 
     def _line_up(self) -> None:
@@ -481,26 +478,51 @@
         while True:
             await self.sleep(2 * self.settings.report_s)
             self.unregistering &= self.tables.machines.keys()
-            keys = sorted({self.tables.machines[name].key for name in self.unregistering})[: self.settings.txn_ops]
-            while keys:
-                writes: dict[str, Any] = {}
-                drops: list[str] = []
-                room = wire.MAX_BODY // ROW_BYTES
-                while keys:
-                    members = self.tables.groups.get(keys[0].removeprefix(t.group_key("")), set())
-                    names = (members & self.tables.machines.keys()) - self.unregistering
-                    room -= len(names)
-                    if room < 0 and (writes or drops):
+            keys = sorted({self.tables.machines[name].key for name in self.unregistering})
+            most, room = self.client.txn_ops, self._transaction_bytes()
+            writes: dict[str, Any] = {}
+            drops: list[str] = []
+            conditions: dict[str, int] = {}
+            for key in keys:
+                names = sorted(
+                    name for name in self.tables.groups.get(t.group_of(key), ())
+                    if name not in self.unregistering and self.tables.machines[name].key == key
+                )  # fmt: skip
+                rows = {name: self.tables.machines[name].stored() for name in names}
+                groups = t.fit_groups(rows, self.client.value_bytes)
+                if len(groups) > 1 and not self.tables.upgraded:
+                    # An earlier layout would take machines that leave one group for another as deleted. Until
+                    # none is left a machine too many in the tables costs little.
+                    continue
+                changes = max(1, len(groups))
+                if writes or drops:
+                    if len(writes) + len(drops) + changes > most or room < changes * self.client.value_bytes:
                         break
-                    key = keys.pop(0)
-                    if names:
-                        writes[key] = {"m": {name: self.tables.machines[name].stored() for name in sorted(names)}}
-                    else:
-                        drops.append(key)
-                conditions = {key: self.tables.stamp(key) for key in (*writes, *drops)}
+                elif changes > most:
+                    # Too many even alone: first the others get groups of their own, which loses none of them.
+                    groups = groups[1:most]
+                    writes = {self._new_group(): {"m": group} for group in groups}
+                    conditions = {key: self.tables.stamp(key)}
+                    break
+                room -= changes * self.client.value_bytes
+                conditions[key] = self.tables.stamp(key)
+                if groups:
+                    writes[key] = {"m": groups[0]}
+                    writes.update((self._new_group(), {"m": group}) for group in groups[1:])
+                else:
+                    drops.append(key)
+            if writes or drops:
                 await self.client.commit(conditions, writes, drops, Urgency.PROGRESS)
                 self.replica.hint()
 
+    def _transaction_bytes(self) -> int:
+        """What values of a transaction may take together; the rest is for keys and conditions."""
+        return max(self.client.value_bytes, int(0.8 * wire.MAX_BODY))
+
+    def _new_group(self) -> str:
+        self.groups_made += 1
+        return t.group_key(f"{self.standing.tag}.{self.groups_made}")
+
     def _register(self) -> None:
         """Stores machines before anything is started on them, so that a later owner knows of them. A wave of
         new ones is one change: the state service takes few, and each machine's own would be half a minute of
@@ -510,20 +532,22 @@
             if machine.heard and name not in self.tables.machines and name not in self.registering
         ]  # fmt: skip
         if fresh and self.group is not None:
-            grouped = all(row.layout >= t.LAYOUT for row in self.tables.members.values())
-            batch = fresh[: self.most_grouped if grouped else self.settings.txn_ops]
-            self.registering.update(machine.name for machine in batch)
-            self.group.start_soon(self._store_machines, batch, grouped)
-
-    async def _store_machines(self, batch: list[Machine], grouped: bool) -> None:
-        writes: dict[str, Any] = {}
-        if grouped:
-            self.groups_made += 1
-            key = t.group_key(f"{self.standing.tag}.{self.groups_made}")
-            writes[key] = {"m": {m.name: [m.address, m.type, m.zone, m.spot] for m in batch}}
-        else:
-            for m in batch:
-                writes[t.machine_key(m.name)] = {"a": m.address, "t": m.type, "z": m.zone, "s": m.spot}
+            grouped = all(row.layout >= t.GROUPS for row in self.tables.members.values())
+            writes: dict[str, Any] = {}
+            if grouped:
+                rows = {m.name: [m.address, m.type, m.zone, m.spot] for m in fresh}
+                most = min(self.client.txn_ops, max(1, self._transaction_bytes() // self.client.value_bytes))
+                for group in t.fit_groups(rows, self.client.value_bytes)[:most]:
+                    writes[self._new_group()] = {"m": group}
+                names = {name for value in writes.values() for name in value["m"]}
+            else:
+                for m in fresh[: self.client.txn_ops]:
+                    writes[t.machine_key(m.name)] = {"a": m.address, "t": m.type, "z": m.zone, "s": m.spot}
+                names = {m.name for m in fresh[: self.client.txn_ops]}
+            self.registering |= names
+            self.group.start_soon(self._store_machines, names, writes)
+
+    async def _store_machines(self, names: set[str], writes: dict[str, Any]) -> None:
         conditions = self.standing.claim_conditions()
         try:
             if self.standing.view.number == self.seen_view:
@@ -531,12 +555,12 @@
                 self.replica.hint()
                 await anyio.sleep(self.pace_s)
         finally:
-            self.registering.difference_update(machine.name for machine in batch)
+            self.registering -= names
             self.wake.set()
 
     def _stop_cancelled(self) -> None:
         for name, job in self.tables.jobs.items():
-            if job.status == LIVE:
+            if not job.cancelled:
                 continue
             waiting = self._idle_claims(job)
             if waiting and not self._on_machine(name):
@@ -544,7 +568,7 @@
         over = set()
         for name in self.yard.placed:
             record = self.tables.jobs.get(name)
-            if record is None or record.status != LIVE:
+            if record is None or record.cancelled:
                 over.add(name)
         if not over:
             return
@@ -669,7 +693,7 @@
         # Little is claimed ahead, so that whose image is here may go first: it saves a fetch and bends the
         # order among a few only.
         for job in sorted(self.idle_line, key=lambda job: (not job.beginning, job.spec.image not in room.images)):
-            if room.count(job.spec) and job.status == LIVE and not job.spec.gang:
+            if room.count(job.spec) and job.runnable and not job.spec.gang:
                 waiting = self._idle_claims(job)
                 if waiting and not self.health.paused(job.spec.id, now):
                     self._place(job, waiting, [room], now)
@@ -696,6 +720,8 @@
             self.yard.start(self.yard.machines[room.machine], name, index, number, job.spec, now)
         if log.isEnabledFor(logging.DEBUG):
             log.debug("%s: %d tasks on %s", name, len(placed), {room.machine for _, room in placed})
+            if job.spec.awaits and not job.progress.done:
+                log.debug("%s: %.2f s since the last that it needs", name, (wall_ms() - job.ready_ms) / 1000)
         return True
 
     def _number(self) -> int:
@@ -734,6 +760,7 @@
         useful = {team: self._use(team) for team in self.settings.teams}
         spare = {team.name: self._spare(team, useful[team.name]) for team in self.settings.teams.values()}
         ahead_cores = self._cores_ahead()
+        most_wants = max(1, self.client.txn_ops // 2)
         taken: dict[str, int] = {}
         members = [member for member, _ in self.standing.view.members]
         turn = members.index(self.settings.member)
@@ -785,12 +812,16 @@
                 ahead = min(count - len(placed), int(ahead_cores // max(spec.cores, quota.SLACK)))
                 ahead_cores -= ahead * spec.cores
             want = min(open_tasks.bit_count(), max(0, len(placed) + ahead - waiting))
-            if want and (len(placed) > waiting or 2 * waiting < ahead) and len(wants) < self.settings.txn_ops // 2:
+            if want and (len(placed) > waiting or 2 * waiting < ahead) and len(wants) < most_wants:
                 wants[name] = wants.get(name, 0) + want
         grow: dict[str, tuple[float, float]] = {}
         shrink: dict[str, tuple[int, float, float]] = {}
+        # Some changes of a round are left for claims.
+        most_teams = max(1, min(self.client.txn_ops // 2, self.client.most_changes(Urgency.CLAIM) - 1))
         for team, use in useful.items():
             limit = self.settings.teams[team]
+            if len(grow) + len(shrink) >= most_teams:
+                break
             held = self._allowance(team)
             free = self.tables.unallotted(limit)
             # Each change is a write: while much of the limit is free, whole parts of it are taken and kept.
--- a/sloeswitch/actors/membership.py
+++ b/sloeswitch/actors/membership.py
@@ -116,6 +116,8 @@
                 await self.replica.fresh(self.client.timeout_s)
                 if self.standing.boot and not self._row_stands(self.standing.boot):
                     await self._write_member()
+                if self.standing.may_act and not self.replica.tables.upgraded:
+                    await self._mark()
             except (NoAnswer, Stale):
                 pass
             pause = self.settings.controller_lease_s / 4 - (self.client.now() - started)
@@ -174,6 +176,26 @@
                 await self.replica.fresh(self.client.timeout_s)
         return False
 
+    async def _mark(self) -> None:
+        """Notes that this controller has run with this layout. Once every configured one has, and none of an
+        earlier layout is left, the mark is complete for good. Guards against a controller that is down: it has
+        not been seen, so it may come back old, and would ignore what a job awaits."""
+        tables = self.replica.tables
+        seen = {*tables.seen, self.settings.member}
+        complete = seen >= set(self.settings.members) and all(
+            row.layout >= t.LAYOUT for row in tables.members.values()
+        )  # fmt: skip
+        if seen == set(tables.seen) and not complete:
+            return
+        conditions = {t.UPGRADE: tables.stamp(t.UPGRADE), **self.standing.claim_conditions()}
+        value = {"seen": sorted(seen), "complete": complete}
+        outcome, _epoch = await self.client.commit(conditions, {t.UPGRADE: value}, [], Urgency.LEASE)
+        self.replica.hint()
+        if outcome is Outcome.DONE:
+            log.info(
+                "layout %d: run by %s%s", t.LAYOUT, ", ".join(sorted(seen)), "; all are upgraded" if complete else ""
+            )
+
     async def coordinate(self) -> None:
         """Takes the coordinator's key when it is free, and writes a new view when members come or go."""
         while True:
--- a/sloeswitch/actors/users.py
+++ b/sloeswitch/actors/users.py
@@ -119,16 +119,33 @@
         why = impossible(spec, self.settings.teams, self.tables.types)
         if why is not None:
             return await self._known_or(name, fault(422, why))
-        if len(request.body) > self.settings.value_kb * 1024 * 0.8:
-            return await self._known_or(name, fault(400, "too large to be stored"))
         if not self.client.reachable:
             return refuse(self.retry_s)
+        if spec.awaits:
+            refused = await self._judge_awaits(spec)
+            if refused is not None:
+                return refused
         accepted = await self.jobs.submit(spec)
         if accepted is None:
             return refuse(self.retry_s)
         status, new = accepted
         return Answer(201 if new else 200, wire.submission_reply(name, status))
 
+    async def _judge_awaits(self, spec: wire.JobSpec) -> Answer | None:
+        """The refusal of a submission for the jobs that it awaits, or None. Jobs once accepted stay known, so
+        that only one which the tables lack needs a fresh read."""
+        if not self.tables.upgraded:
+            # A controller of an earlier layout would start its tasks too early.
+            return refuse(self.retry_s)
+        if all(self.jobs.status(name) is not None for name in spec.awaits):
+            return None
+        if not await self._fresh():
+            return refuse(self.retry_s)
+        if self.jobs.status(spec.id) is not None:
+            return await self._known(spec.id)
+        unknown = [name for name in spec.awaits if self.jobs.status(name) is None]
+        return fault(422, f"awaits {unknown[0]}, which was never accepted") if unknown else None
+
     async def _known(self, name: str) -> Answer:
         """Final states are told from the tables; anything else needs a fresh read, so that no user
         gets an older answer than another node gave."""
@@ -149,7 +166,7 @@
             return fault(404, "no such job")
         over = self.tables.over.get(name)
         if over is not None:
-            return Answer(200, wire.poll_reply(name, status, over[1] if status == wire.DONE else 0, 0))
+            return Answer(200, wire.poll_reply(name, status, over.tasks if over.done else 0, 0))
         job = self.tables.jobs[name]
         done = job.progress.done.bit_count()
         running = job.progress.claimed().bit_count()
--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -7,7 +7,7 @@
 
 from sloeswitch.core.quota import Use, fits_type, room_for
 from sloeswitch.core.ready import targets
-from sloeswitch.core.tables import LIVE, Job, Tables
+from sloeswitch.core.tables import Job, Tables
 from sloeswitch.settings import Settings
 from sloeswitch.wire import JobSpec, MachineType
 
@@ -52,18 +52,18 @@
     spec = job.spec
     estimate = max(spec.estimate_s, 1e-3)
     age = (wall_ms - job.submitted_ms) / 1000
-    ahead = [target - age for target in targets(spec, settings.objectives) if target - age > estimate]
+    ahead = [target - age for target in targets(job, settings.objectives) if target - age > estimate]
     span = spread * ahead[0] if ahead else UNHURRIED * estimate
     return min(job.left, math.ceil(job.left * estimate / max(span, estimate)))
 
 
 def needs(tables: Tables, settings: Settings, wall_ms: int, spread: float) -> list[Need]:
-    """What the live jobs need, within the teams' limits, oldest first."""
+    """What the jobs that wait for no other need, within the teams' limits, oldest first."""
     left = {name: [team.cpus_max, team.gpus_max] for name, team in settings.teams.items()}
     found = []
     for job in sorted(tables.jobs.values(), key=lambda job: job.born):
         limit = left.get(job.spec.team)
-        if job.status != LIVE or limit is None:
+        if not job.runnable or limit is None:
             continue
         spec = job.spec
         tasks = min(at_once(job, settings, wall_ms, spread), room_for(spec, (limit[0], limit[1]), Use()))
--- /dev/null
+++ b/sloeswitch/core/graph.py
@@ -0,0 +1,73 @@
+"""Join counters and successors, as in dwork: which jobs wait for which.
+
+Both follow from the stored rows and nothing of them is stored: a job's row names what it awaits, and its
+counter is the number of those not stored as done. So the end of a job is one row's change however many wait
+for it, and seeing that change twice, or from another controller, releases nobody twice. A cancellation is one
+row's change in the same way: whatever needs a cancelled job, directly or through others, is cancelled by it.
+
+Rows may come in any order, since a first reading is by key. No walk recurses: chains may be long.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sloeswitch.core.tables import Job, Over
+
+
+class Graph:
+    """Owned by the tables, whose jobs it marks."""
+
+    def __init__(self, jobs: dict[str, Job], over: dict[str, Over]) -> None:
+        self.jobs = jobs
+        self.over = over
+        # Awaited job, known or not and not over -> jobs that wait for it.
+        self.successors: dict[str, set[str]] = {}
+        # Whether priorities and deadlines that pass upstream are to be reckoned anew (see ready).
+        self.changed = False
+
+    def joined(self, job: Job) -> None:
+        """A job's row was read for the first time."""
+        for name in job.spec.awaits:
+            ended = self.over.get(name)
+            if ended is not None and ended.done:
+                self._passed(job, ended)
+                continue
+            job.waits += 1
+            known = self.jobs.get(name)
+            if ended is not None or (known is not None and known.cancelled):
+                job.condemned = True
+            else:
+                self.successors.setdefault(name, set()).add(job.spec.id)
+        if job.waits or job.spec.id in self.successors:
+            self.changed = True
+        if job.cancelled:
+            self.cancelled(job.spec.id)
+
+    def done(self, name: str, ended: Over) -> None:
+        """A job is stored as done."""
+        for waiting in self.successors.pop(name, ()):
+            job = self.jobs.get(waiting)
+            if job is not None:
+                job.waits -= 1
+                self._passed(job, ended)
+
+    @staticmethod
+    def _passed(job: Job, ended: Over) -> None:
+        """The moment from which a job's times count is the end of the last that it needs. A row of a version
+        that stored no such time was written before anything could await it: the submission is later."""
+        job.ready_ms = max(job.ready_ms, ended.at_ms)
+        job.born = max(job.born, ended.stamp)
+        job.targets = None
+
+    def cancelled(self, name: str) -> None:
+        """A job is cancelled, by its user or by what it needs: so is all that needs it."""
+        walk = [name]
+        while walk:
+            for waiting in self.successors.pop(walk.pop(), ()):
+                self.changed = True
+                job = self.jobs.get(waiting)
+                if job is not None and not job.condemned:
+                    job.condemned = True
+                    walk.append(waiting)
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -1,37 +1,107 @@
 """The order of ready work: oldest first, as in dwork, within the exceptions the deployments need.
 
-Job join counters start at zero, since protocol jobs name no prerequisites, so an accepted job is
-ready. The ready list is rebuilt from the stored tables; nothing of it is stored.
+A job is ready when its join counter is zero (see graph). The ready list is rebuilt from the stored tables;
+nothing of it is stored.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterator
 from itertools import compress, takewhile
 
 from sloeswitch.core.quota import within_guarantee
-from sloeswitch.core.tables import LIVE, Job, Tables
+from sloeswitch.core.tables import Job, Tables
 from sloeswitch.settings import Objective, Settings
 from sloeswitch.wire import URGENCIES, JobSpec
 
 RANK = {name: number for number, name in enumerate(URGENCIES)}
 
 
-def targets(spec: JobSpec, objectives: tuple[Objective, ...]) -> list[float]:
-    """Seconds from submission by which the job should be done, the earliest first."""
-    found = set()
+def deadlines(spec: JobSpec, objectives: tuple[Objective, ...]) -> set[float]:
+    """Seconds from submission by which the job is due, by what is aimed at for its class."""
+    if spec.deadline_s is None:
+        return set()
+    times = {aim.times for aim in objectives if aim.kind == "deadline" and aim.klass == spec.klass}
+    return {each * spec.deadline_s for each in times}
+
+
+def targets(job: Job, objectives: tuple[Objective, ...]) -> list[float]:
+    """Seconds from submission by which the job should be done, the earliest first; reckoned once. Deadlines
+    count from the submission, the other times from when the last job that it needs was done."""
+    if job.targets is not None:
+        return job.targets
+    spec = job.spec
+    found = deadlines(spec, objectives)
+    waited_s = (job.ready_ms - job.submitted_ms) / 1000
     for objective in objectives:
-        if objective.klass != spec.klass:
+        if objective.klass != spec.klass or objective.within_s is None:
             continue
-        if objective.kind == "deadline" and spec.deadline_s is not None:
-            found.add(objective.times * spec.deadline_s)
-        elif objective.kind == "finished" and objective.within_s is not None:
-            found.add(objective.within_s)
-        elif objective.kind == "wait" and objective.within_s is not None:
-            found.add(objective.within_s + spec.estimate_s)
+        if objective.kind == "finished":
+            found.add(waited_s + objective.within_s)
+        elif objective.kind == "wait":
+            found.add(waited_s + objective.within_s + spec.estimate_s)
     if spec.deadline_s is not None and not found:
         found.add(spec.deadline_s)
-    return sorted(found)
+    if job.inherited_ms is not None:
+        found.update((by_ms - job.submitted_ms) / 1000 for by_ms in job.inherited_ms)
+    job.targets = sorted(found)
+    return job.targets
+
+
+def inherit(tables: Tables, settings: Settings) -> None:
+    """Passes priorities and deadlines upstream: a job gets the highest priority of all that need it, and must
+    be done by their deadlines less the path between, the usual backward pass over a critical path. A step of
+    the path is an estimate, the image's way to a machine and a report."""
+    graph, jobs = tables.graph, tables.jobs
+    graph.changed = False
+    fetch_gb_s = min((kind.fetch_gb_s for kind in tables.types.values() if kind.fetch_gb_s > 0), default=0.0)
+    needed_by = {
+        name: {waiting for waiting in waitings if waiting in jobs and not jobs[waiting].cancelled}
+        for name, waitings in graph.successors.items() if name in jobs
+    }  # fmt: skip
+    was = {}
+    for name, job in jobs.items():
+        if job.inherited_rank is not None or job.inherited_ms is not None or name in needed_by:
+            was[name] = (job.inherited_rank, job.inherited_ms)
+            job.inherited_rank = job.inherited_ms = None
+    walk = deque(
+        name for name, job in jobs.items() if job.waits and not job.cancelled and not needed_by.get(name)
+    )  # fmt: skip
+    while walk:
+        name = walk.popleft()
+        job = jobs[name]
+        spec = job.spec
+        rank = urgency(job)
+        due = deadlines(spec, settings.objectives)
+        if spec.deadline_s is not None and not due:
+            due.add(spec.deadline_s)
+        ends = [job.submitted_ms + 1000 * each for each in due]
+        if job.inherited_ms is not None:
+            ends += job.inherited_ms
+        lead_ms = 1000 * (spec.estimate_s + settings.report_s + (spec.image_gb / fetch_gb_s if fetch_gb_s else 0.0))
+        for before in spec.awaits:
+            waitings = needed_by.get(before)
+            if waitings is None or name not in waitings:
+                continue
+            earlier = jobs[before]
+            earlier.inherited_rank = rank if earlier.inherited_rank is None else min(rank, earlier.inherited_rank)
+            if ends:
+                first, last = min(ends) - lead_ms, max(ends) - lead_ms
+                known = earlier.inherited_ms or (first, last)
+                earlier.inherited_ms = (min(first, known[0]), min(last, known[1]))
+            waitings.discard(name)
+            if not waitings and earlier.waits:
+                walk.append(before)
+    for name, before_ in was.items():
+        if before_ != (jobs[name].inherited_rank, jobs[name].inherited_ms):
+            jobs[name].targets = None
+
+
+def urgency(job: Job) -> int:
+    """A job has the priority of any job that needs it, if that is higher."""
+    own = RANK[job.spec.priority]
+    return own if job.inherited_rank is None else min(own, job.inherited_rank)
 
 
 # Nothing starves, whatever the order by priority, guarantee and lateness: a job with nothing begun after so
@@ -58,19 +128,18 @@
 def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[int, float | None]:
     """How many targets of the job are missed for certain, and the age at which its last tasks must have
     started to meet the next one; None when there is no such target."""
-    if job.targets is None:
-        job.targets = targets(job.spec, objectives)
+    found = targets(job, objectives)
     needed = job.spec.estimate_s if job.unstarted else 0.0
-    for missed, target in enumerate(job.targets):
+    for missed, target in enumerate(found):
         if target >= age_s + needed:
             return missed, target - needed
-    return len(job.targets), None
+    return len(found), None
 
 
 def order(
     tables: Tables, settings: Settings, wall_ms: int, has_begun: Callable[[Job], bool] = begun
 ) -> list[Job]:  # fmt: skip
-    """Live jobs with tasks left, in the order in which they get room.
+    """Jobs that wait for no other and have tasks left, in the order in which they get room.
 
     Oldest first, where a job that has time to its next target counts as younger by the time that it can wait:
     short jobs have little, and were late behind long ones (found on the bench). What lay within its team's
@@ -82,7 +151,9 @@
     stand back is bounded: one that waited too long for its beginning stands in the line twice, in front for a
     part of its tasks (`beginning`) and in its ordinary place for the rest.
     """
-    live = sorted((job for job in tables.jobs.values() if job.status == LIVE), key=lambda job: job.born)
+    if tables.graph.changed:
+        inherit(tables, settings)
+    live = sorted((job for job in tables.jobs.values() if job.runnable), key=lambda job: job.born)
     wanted: dict[str, tuple[float, float]] = {}
     keyed: list[tuple[tuple[int, bool, bool, int, int, float], Job]] = []
     for job in live:
@@ -91,7 +162,7 @@
         cores, gpus = cores + spec.tasks * spec.cores, gpus + spec.tasks * spec.gpus
         wanted[spec.team] = (cores, gpus)
         age_s = (wall_ms - job.submitted_ms) / 1000
-        back = standing_back(has_begun(job), age_s, settings.lease_s)
+        back = standing_back(has_begun(job), (wall_ms - job.ready_ms) / 1000, settings.lease_s)
         team = settings.teams.get(spec.team)
         if job.guaranteed is None:
             job.guaranteed = team is not None and within_guarantee(team, cores, gpus)
@@ -106,8 +177,8 @@
             # Only the end of all work is at stake: the longest tasks first, so that none is left over.
             key = (back, True, False, 0, 0, -spec.estimate_s)
         else:
-            start_by = job.submitted_ms / 1000 + (start_by_s or 0.0)
-            key = (back, False, not job.guaranteed, RANK[spec.priority], missed, start_by)
+            start_by = job.ready_ms / 1000 if start_by_s is None else job.submitted_ms / 1000 + start_by_s
+            key = (back, False, not job.guaranteed, urgency(job), missed, start_by)
         job.rank = key[:-1]
         keyed.append((key, job))
     keyed.sort(key=lambda pair: pair[0])
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -6,33 +6,40 @@
     coord      {"member", "boot"}    the coordinator (lease-bound)
     view       {"n", "members"}      the numbered view: [[member, boot], ...]
     catalog    {...}                 machine types, as the cloud last told them
-    j/JOB      {"s", "n", ...}       a job: "live", "done" or "withdrawn"; the spec until it is over
+    j/JOB      {"s", "n", ...}       a job: "live", "done" or "withdrawn"; the spec until it is over, then
+                                     the time of its end
+    p/JOB/TRY/N  TEXT                a part of a spec that fits no value; the job's row names the try
     r/JOB      {"d", "c", "z"}       its progress: done tasks, claims by controller, zone
     q/TEAM     {TAG: [cores, gpus]}  the team's limit, as allowances of the controllers
     g/GROUP    {"m": {MACHINE: [address, type, zone, spot]}}   machines that may hold tasks
     h/MACHINE  {"a", "t", "z", "s"}  the same, one by one: layout 1, written while a controller that
                                      knows no groups is about
+    layout     {"seen": [MEMBER...], "complete"}   who has run with this layout; complete once all have
 """
 
 from __future__ import annotations
 
 import logging
+from base64 import b64decode, b64encode
 from dataclasses import dataclass, field
 from functools import cached_property, lru_cache
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
 from sloeswitch.core import taskset
+from sloeswitch.core.graph import Graph
 from sloeswitch.settings import Team
 from sloeswitch.wire import Catalog, JobSpec, MachineType
 
 log = logging.getLogger("tables")
 
 PREFIX = "s1/"
-VIEW, COORD, CATALOG = PREFIX + "view", PREFIX + "coord", PREFIX + "catalog"
-# What this version writes; each controller tells it in its member row.
-LAYOUT = 2
+VIEW, COORD, CATALOG, UPGRADE = PREFIX + "view", PREFIX + "coord", PREFIX + "catalog", PREFIX + "layout"
+# What this version writes; each controller tells it in its member row. Groups came with the second. The third
+# stores jobs that wait, specs in parts, and sets of tasks as text where that is shorter, all of them only once
+# the mark (UPGRADE) says that every configured controller has run with it.
+GROUPS, LAYOUT = 2, 3
 LIVE, DONE, WITHDRAWN = "live", "done", "withdrawn"
 
 
@@ -48,6 +55,10 @@
     return f"{PREFIX}r/{job}"
 
 
+def part_key(job: str, attempt: str, number: int) -> str:
+    return f"{PREFIX}p/{job}/{attempt}/{number}"
+
+
 def team_key(team: str) -> str:
     return f"{PREFIX}q/{team}"
 
@@ -60,6 +71,36 @@
     return f"{PREFIX}g/{group}"
 
 
+def group_of(key: str) -> str:
+    """The group that a key names, or what is no group's name."""
+    return key.removeprefix(group_key(""))
+
+
+def pack_spec(spec: JobSpec, most_bytes: int) -> list[str]:
+    """A spec as texts, each of which is a value within the limit."""
+    text = b64encode(msgspec.json.encode(spec)).decode()
+    step = max(1, most_bytes - 2)  # with its quotation marks
+    return [text[start : start + step] for start in range(0, len(text), step)]
+
+
+def unpack_spec(texts: list[str]) -> JobSpec:
+    return msgspec.json.decode(b64decode("".join(texts), validate=True), type=JobSpec)
+
+
+def fit_groups(rows: dict[str, list[Any]], most_bytes: int) -> list[dict[str, list[Any]]]:
+    """The machines' rows parted into groups that are each a value within the limit."""
+    groups: list[dict[str, list[Any]]] = []
+    room = 0
+    for name, row in rows.items():
+        size = len(msgspec.json.encode({name: row}))
+        if size > room or not groups:
+            groups.append({})
+            room = most_bytes - len('{"m":}')
+        groups[-1][name] = row
+        room -= size
+    return groups
+
+
 @lru_cache(maxsize=64)
 def tag_of(member: str, boot: int) -> str:
     """Names one run of one controller: claims carry it, so that a restart never owns old claims."""
@@ -100,10 +141,12 @@
             taken |= mask
         return taken
 
-    def stored(self) -> dict[str, Any]:
+    def stored(self, dense: bool = False) -> dict[str, Any]:
+        """As it is stored; `dense` once no controller of an earlier layout can come back."""
+        pack = taskset.pack_dense if dense else taskset.pack
         value: dict[str, Any] = {
-            "d": taskset.pack(self.done),
-            "c": {tag: taskset.pack(mask) for tag, mask in self.claims.items() if mask},
+            "d": pack(self.done),
+            "c": {tag: pack(mask) for tag, mask in self.claims.items() if mask},
         }
         if self.zone is not None:
             value["z"] = self.zone
@@ -121,6 +164,19 @@
         )
 
 
+class Over(NamedTuple):
+    """A job that is over, kept for good. `at_ms`: 0 where an earlier layout stored no time."""
+
+    status: str
+    tasks: int
+    at_ms: int = 0
+    stamp: int = 0
+
+    @property
+    def done(self) -> bool:
+        return self.status == DONE
+
+
 @dataclass
 class Job:
     """A job that is not over, or is cancelled with tasks not yet accounted for."""
@@ -132,6 +188,18 @@
     submitted_ms: int
     progress: Progress = field(default_factory=Progress)
     progress_stamp: int = 0
+    # Where its spec is, if in parts: the try that stored them, and how many there are.
+    parts: tuple[str, int] | None = None
+    # How many of those that it awaits are not stored as done: dwork's join counter (see graph).
+    waits: int = 0
+    # Whether one that it needs, directly or through others, is cancelled.
+    condemned: bool = False
+    # When the last that it needs was done; its submission when it needs none.
+    ready_ms: int = 0
+    # Of those that need it: the highest priority, and the times by which it must be done for the first and
+    # the last of their targets (see ready).
+    inherited_rank: int | None = None
+    inherited_ms: tuple[float, float] | None = None
     # When it should be done, in seconds from submission; reckoned once (see ready).
     targets: list[float] | None = None
     # Whether it goes first just now since nothing of it has begun for long; only a part of it does.
@@ -147,6 +215,15 @@
     def everything(self) -> int:
         return taskset.full(self.spec.tasks)
 
+    @property
+    def cancelled(self) -> bool:
+        return self.condemned or self.status == WITHDRAWN
+
+    @property
+    def runnable(self) -> bool:
+        """Whether its tasks may start. One that is condemned waits for ever."""
+        return self.status == LIVE and not self.waits
+
     @property
     def unstarted(self) -> bool:
         """Whether a task is neither done nor claimed. Reckoned once for each progress that is stored."""
@@ -193,13 +270,21 @@
         self.view = NO_VIEW
         self.types: dict[str, MachineType] = {}
         self.jobs: dict[str, Job] = {}
-        # Jobs that are over, kept for good: one small tuple each.
-        self.over: dict[str, tuple[str, int]] = {}
+        self.over: dict[str, Over] = {}
+        self.graph = Graph(self.jobs, self.over)
+        # Who has run with this layout, and whether all have (the mark).
+        self.seen: tuple[str, ...] = ()
+        self.upgraded = False
         self.machines: dict[str, MachineRow] = {}
         self.groups: dict[str, set[str]] = {}
         self.deleted: set[str] = set()
         self.allowances: dict[str, dict[str, tuple[float, float]]] = {}
+        # Jobs that are over and whose progress is still stored.
+        self.leftover: set[str] = set()
+        # Stored parts of specs: job -> try -> number -> text.
+        self.parts: dict[str, dict[str, dict[int, str]]] = {}
         self._early: dict[str, tuple[Progress, int]] = {}
+        self._partial: dict[str, tuple[dict[str, Any], int]] = {}
 
     def stamp(self, key: str) -> int:
         return self.stamps.get(key, 0)
@@ -229,6 +314,8 @@
             self._apply_job(rest, value, stamp)
         elif kind == "r":
             self._apply_progress(rest, value, stamp)
+        elif kind == "p":
+            self._apply_part(rest, value)
         elif kind == "h":
             if value is None:
                 self.machines.pop(rest, None)
@@ -249,47 +336,98 @@
             self.view = View(value["n"], tuple((member, boot) for member, boot in value["members"]))
         elif kind == "coord":
             self.coordinator = None if value is None else (value["member"], value["boot"])
+        elif kind == "layout" and value is not None:
+            self.seen = tuple(value["seen"])
+            self.upgraded = bool(value["complete"])
         elif kind == "catalog" and value is not None:
             self.types = {item.name: item for item in msgspec.convert(value, Catalog).types}
 
     def _apply_group(self, group: str, rows: dict[str, list[Any]]) -> None:
-        for name in self.groups.pop(group, set()) - rows.keys():
-            self.machines.pop(name, None)
-            self.deleted.add(name)
+        gone = self.groups.pop(group, set()) - rows.keys()
         if rows:
             self.groups[group] = set(rows)
+        # A group too large for a value is parted, and a write repeated after no answer makes another group, so
+        # that a machine may be in several. The last of them by name holds it, whatever order they were read in:
+        # left out of the others by different controllers, it is still in that one.
+        for name in gone:
+            other = max((other for other, members in self.groups.items() if name in members), default=None)
+            if other is not None:
+                self.machines[name].key = group_key(other)
+            else:
+                self.machines.pop(name, None)
+                self.deleted.add(name)
         for name, (address, kind, zone, spot) in rows.items():
-            self.machines[name] = MachineRow(address, kind, zone, spot, group_key(group))
+            known = self.machines.get(name)
+            key = group_key(group)
+            if known is not None and known.key > key and name in self.groups.get(group_of(known.key), ()):
+                key = known.key
+            self.machines[name] = MachineRow(address, kind, zone, spot, key)
             self.deleted.discard(name)
 
     def _apply_job(self, name: str, value: Any, stamp: int) -> None:
         if value is None:
             self.jobs.pop(name, None)
             return
-        if "spec" not in value:
+        if "spec" not in value and "parts" not in value:
             self.jobs.pop(name, None)
             self._early.pop(name, None)
-            self.over[name] = (value["s"], value["n"])
+            self._partial.pop(name, None)
+            if self.stamp(progress_key(name)):
+                self.leftover.add(name)
+            ended = self.over[name] = Over(value["s"], value["n"], value.get("t", 0), stamp)
             self.stamps.pop(job_key(name), None)
+            if ended.done:
+                self.graph.done(name, ended)
+            else:
+                self.graph.cancelled(name)
             return
         known = self.jobs.get(name)
         if known is not None:
             known.status = value["s"]
             known.stamp = stamp
+            if known.cancelled:
+                self.graph.cancelled(name)
             return
-        spec = msgspec.convert(value["spec"], JobSpec)
-        job = Job(spec, value["s"], stamp, stamp, value["t"])
+        parts = None
+        if "parts" in value:
+            attempt, count = parts = value["parts"][0], value["parts"][1]
+            texts = self.parts.get(name, {}).get(attempt, {})
+            if len(texts) < count:
+                self._partial[name] = (value, stamp)  # the first reading is by key, not by age
+                return
+            spec = unpack_spec([texts[number] for number in range(count)])
+        else:
+            spec = msgspec.convert(value["spec"], JobSpec)
+        job = Job(spec, value["s"], stamp, stamp, value["t"], parts=parts, ready_ms=value["t"])
         if name in self._early:
             job.progress, job.progress_stamp = self._early.pop(name)
         self.jobs[name] = job
+        self.graph.joined(job)
+
+    def _apply_part(self, rest: str, value: Any) -> None:
+        name, attempt, number = rest.split("/")
+        texts = self.parts.setdefault(name, {}).setdefault(attempt, {})
+        if value is None:
+            texts.pop(int(number), None)
+            if not texts:
+                del self.parts[name][attempt]
+            if not self.parts[name]:
+                del self.parts[name]
+            return
+        texts[int(number)] = value
+        if name in self._partial:
+            self._apply_job(name, *self._partial.pop(name))
 
     def _apply_progress(self, name: str, value: Any, stamp: int) -> None:
+        if name in self.over:
+            (self.leftover.discard if value is None else self.leftover.add)(name)
+            return
         progress = Progress() if value is None else Progress.from_stored(value)
         job = self.jobs.get(name)
         if job is not None:
             job.progress = progress
             job.progress_stamp = 0 if value is None else stamp
-        elif value is not None and name not in self.over:
+        elif value is not None:
             self._early[name] = (progress, stamp)
 
     def all_settled(self) -> bool:
--- a/sloeswitch/settings.py
+++ b/sloeswitch/settings.py
@@ -66,6 +66,8 @@
     gang_wait_s: float
     gang_peer_s: float
     cancel_s: float
+    # Of the state service's limits now and those announced (`state.next`) the lesser: they fall without notice,
+    # and what is stored before must be writable after.
     state_rps: float
     state_write_rps: float
     value_kb: float
@@ -79,6 +81,16 @@
     # Steady clocks drift apart by at most 0.05% (protocol); twice that covers a pair of them.
     drift: float = 0.001
 
+    @property
+    def members(self) -> tuple[str, ...]:
+        """All configured controllers, this one first."""
+        return (self.member, *(sibling.member for sibling in self.siblings))
+
+    @property
+    def value_bytes(self) -> int:
+        """The largest value to be stored; a tenth is left for what the state service may count besides."""
+        return int(self.value_kb * 1024 * 0.9)
+
     @property
     def controller_lease_s(self) -> float:
         """Lease of a controller in the state service; short beside the workers' own leases, so
@@ -123,6 +135,17 @@
         self.faults.append(f"{where}{key}: must be a whole number of at least {least}, is {value!r}")
         return least
 
+    def lesser(
+        self, state: dict[str, Any], coming: dict[str, Any], key: str, least: float, whole: bool = False
+    ) -> float:  # fmt: skip
+        """A limit of the state service: what holds now or what is announced, whichever is less."""
+
+        def read(table: dict[str, Any], where: str) -> float:
+            return self.whole(table, key, where, int(least)) if whole else self.number(table, key, where, least)
+
+        now = read(state, "deployment.state.")
+        return min(now, read(coming, "deployment.state.next.")) if key in coming else now
+
     def address(self, table: dict[str, Any], key: str, where: str) -> Address:
         value = table.get(key)
         if isinstance(value, str):
@@ -158,6 +181,7 @@
     deployment = read.table(top, "deployment", "")
     workers = read.table(deployment, "workers", "deployment.") if deployment else {}
     state = read.table(deployment, "state", "deployment.") if deployment else {}
+    coming = read.table(state, "next", "deployment.state.") if "next" in state else {}
     cloud = read.table(deployment, "cloud", "deployment.") if deployment else {}
     limits = read.table(deployment, "machine_limits", "deployment.") if deployment else {}
     siblings = []
@@ -215,10 +239,10 @@
         gang_wait_s=read.number(workers, "gang_wait_s", "deployment.workers."),
         gang_peer_s=read.number(workers, "gang_peer_s", "deployment.workers."),
         cancel_s=read.number(workers, "cancel_s", "deployment.workers."),
-        state_rps=read.number(state, "rps", "deployment.state.", 0.1),
-        state_write_rps=read.number(state, "write_rps", "deployment.state.", 0.1),
-        value_kb=read.number(state, "value_kb", "deployment.state.", 0.1),
-        txn_ops=read.whole(state, "txn_ops", "deployment.state.", 2),
+        state_rps=read.lesser(state, coming, "rps", 0.1),
+        state_write_rps=read.lesser(state, coming, "write_rps", 0.1),
+        value_kb=read.lesser(state, coming, "value_kb", 0.1),
+        txn_ops=int(read.lesser(state, coming, "txn_ops", 2, whole=True)),
         cloud_rps=read.number(cloud, "rps", "deployment.cloud.", 0.01),
         list_lag_s=read.number(cloud, "list_lag_s", "deployment.cloud."),
         cores=read.number(limits, "cores", "deployment.machine_limits.", 0.01),
--- a/sloeswitch/state.py
+++ b/sloeswitch/state.py
@@ -72,6 +72,9 @@
         self.timeout_s = settings.controller_lease_s / 4
         self.requests = Bucket(settings.state_rps, now())
         self.writes = Bucket(settings.state_write_rps, now())
+        # What the state service takes; lowered should it take less than the settings tell.
+        self.txn_ops = settings.txn_ops
+        self.value_bytes = settings.value_bytes
         self.last_ok = float("-inf")
         self.failing_since: float | None = None
 
@@ -90,7 +93,7 @@
         the more urgent would leave a debt, and users' submissions waited a second or two for it (found on
         the bench). A job that ends takes two, and a team's allowance may go with it."""
         self._share_out()
-        return min(self.settings.txn_ops, max(3, int(self.writes.rate * (1 - RESERVE[urgency]))))
+        return min(self.txn_ops, max(3, int(self.writes.rate * (1 - RESERVE[urgency]))))
 
     async def pay(self, changes: int, urgency: Urgency) -> None:
         """Waits for the right to make so many changes, for a commit whose content follows."""
@@ -156,8 +159,24 @@
             if b"no such lease" in reply.body:
                 return Outcome.NO_LEASE, 0
             log.error("transaction refused: %s", reply.body[:200])
+            self._refused(writes, len(writes) + len(drops))
+        elif reply.status == 429:
+            # A rate that fell, or another controller's burst: wait for what this one took to come back.
+            log.info("transaction of %d changes is over the rate", len(writes) + len(drops))
+            self.writes.level = min(self.writes.level, 0.0)
         return Outcome.REFUSED, 0
 
+    def _refused(self, writes: dict[str, Any], changes: int) -> None:
+        """Guards against limits that fell further than announced: the same would be refused for ever."""
+        if changes > 2:
+            self.txn_ops = changes // 2
+            log.error("from now on at most %d changes a transaction", self.txn_ops)
+        elif writes:
+            largest = max(len(wire.encode(value)) for value in writes.values())
+            if largest > 256:
+                self.value_bytes = min(self.value_bytes, int(0.7 * largest))
+                log.error("from now on values of at most %d bytes", self.value_bytes)
+
 
 class Stale(Exception):
     """A fresh read could not be had in time."""
--- a/sloeswitch/wire.py
+++ b/sloeswitch/wire.py
@@ -30,6 +30,7 @@
 class JobSpec(
     Struct,
     frozen=True,
+    omit_defaults=True,
     rename={
         "klass": "roster", "team": "crew", "priority": "urgency", "tasks": "visits", "gpus": "accelerators",
         "memory": "memoryGb", "image": "kit", "image_gb": "pullGb", "types": "builds", "zone": "district",
@@ -57,6 +58,8 @@
     types: list[str] | None = None
     zone: str | None = None
     deadline_s: float | None = None
+    # Jobs that have to be done before any task of this one starts.
+    awaits: tuple[str, ...] = ()
 
     @property
     def gang(self) -> bool:
@@ -228,6 +231,10 @@
             raise Malformed(f"{name}: negative or not finite")
     if spec.deadline_s is not None and not (math.isfinite(spec.deadline_s) and spec.deadline_s >= 0):
         raise Malformed("dueS: negative or not finite")
+    if not all(ID_FORM.fullmatch(name) for name in spec.awaits):
+        raise Malformed("awaits: not all are job ids")
+    if len(set(spec.awaits)) < len(spec.awaits):
+        spec = msgspec.structs.replace(spec, awaits=tuple(dict.fromkeys(spec.awaits)))
     return spec
 
 
