--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -133,12 +133,18 @@
     """The next booking, or None when the machines at hand, up or on their way, have room for all."""
     found = offers(types)
     _left, short = fill(wanted, supply, found)
+    # Guards against a small job for which there is no machine at all: worth none by its size, it was never
+    # started (found on the bench: three tasks that may not use spot machines, when the last other was returned).
+    lone = [
+        spec for spec, _tasks in short
+        if not any(supply.get(offer.kind, 0) > 0 and offer.suits(spec) for offer in found)
+    ]  # fmt: skip
     best: tuple[float, int, Kind, int] | None = None
     for offer in found:
         if offer.kind in refused:
             continue
         machines = sum(machines_for(spec, 1, offer.type) * tasks for spec, tasks in short if offer.suits(spec))
-        if machines < WORTH_RENTING:
+        if machines < WORTH_RENTING and not any(offer.suits(spec) for spec in lone):
             continue
         price = offer.price / max(offer.type.cores, 1e-3)
         candidate = (price, supply.get(offer.kind, 0), offer.kind, min(most, max(1, math.floor(machines))))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -32,3 +32,10 @@
     assert fleet.surplus(need, {SPOT: 2, ORDINARY: 3}, TYPES) == {ORDINARY: 2}
     assert fleet.surplus(need, {SPOT: 4, ORDINARY: 3}, TYPES) == {SPOT: 1, ORDINARY: 3}
     assert fleet.surplus(need, {SPOT: 1}, TYPES) == {}
+
+
+def test_a_job_too_small_to_be_worth_a_machine_gets_one_if_there_is_none_for_it() -> None:
+    """Failure found on the bench: jobs that forbid spot machines were never started, and those after them neither."""
+    small = [fleet.Need(spec(loaners=False, visits=1), 1)]
+    assert fleet.rent(small, {SPOT: 5}, TYPES, set(), 50) == fleet.Plan(ORDINARY, 1)
+    assert fleet.rent([fleet.Need(spec(), 4), *small], {ORDINARY: 1}, TYPES, set(), 50) is None
