--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -186,7 +186,7 @@
         room = self.client.most_changes(urgency)
         paid = min(cost, room)
         await self.client.pay(paid, urgency)
-        if steal is not None and acting and self.now() - self.replica.fresh_at > self.replica.gap_s:
+        if steal is not None and acting:
             try:
                 await self.replica.fresh(self.client.timeout_s)
             except Stale:
