--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -22,8 +22,6 @@
     gpus: float
     memory: float
     images: set[str] = field(default_factory=set)
-    # How many images it is fetching, which share its rate.
-    fetching: int = 0
 
     def count(self, spec: JobSpec) -> int:
         """How many tasks of the job fit."""
@@ -40,9 +38,7 @@
         self.cores -= count * spec.cores
         self.gpus -= count * spec.gpus
         self.memory -= count * spec.memory
-        if spec.image not in self.images:
-            self.images.add(spec.image)
-            self.fetching += 1
+        self.images.add(spec.image)
 
 
 def allowed(spec: JobSpec, room: Room) -> bool:
@@ -68,15 +64,9 @@
 
 def fitting(spec: JobSpec, rooms: list[Room]) -> list[Room]:
     """Machines with room for the job, best first: those that have its image, so that it is not fetched
-    again, then those that fetch no other, which would share the rate, then spot machines and the fullest ones, so
-    that the dear and the empty can be returned."""
+    again, then spot machines and the fullest ones, so that the dear and the empty can be returned."""
     found = [room for room in rooms if allowed(spec, room) and room.count(spec) > 0]
-    found.sort(
-        key=lambda room: (
-            (False, 0, not room.spot, room.cores) if spec.image in room.images
-            else (True, room.fetching, not room.spot, room.cores)
-        )
-    )  # fmt: skip
+    found.sort(key=lambda room: (spec.image not in room.images, not room.spot, room.cores))
     return found
 
 
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -423,7 +423,6 @@
         return Room(
             machine.name, machine.type, machine.zone, machine.spot, self.free_cores(machine, kind),
             kind.gpus - machine.use.gpus, kind.memory - machine.memory, images,
-            sum(image not in machine.images for image in machine.fetched),
         )  # fmt: skip
 
     def usable(self, machine: Machine) -> bool:
