Urgent work stands before images at hand when a machine is filled

Cause: of what is claimed ahead a machine takes first what it has the image for, whatever its priority. Ruled out: the release (0.6 s), the claim. Only above the usual priority, so that the order of all other work stays.

--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -65,6 +65,8 @@
     return int(time.time() * 1000)
 
 
+# The priority that work usually has.
+USUAL = ready.RANK["standard"]
 # Machines that are not needed are emptied once no more than this part of them is in use.
 LEAN = 0.5
 
@@ -692,8 +694,12 @@
         if room is None:
             return
         # Little is claimed ahead, so that whose image is here may go first: it saves a fetch and bends the
-        # order among a few only.
-        for job in sorted(self.idle_line, key=lambda job: (not job.beginning, job.spec.image not in room.images)):
+        # order among a few only. What is more urgent than usual stands before all that: a stage of a pipeline
+        # waited for twenty seconds beside machines that had the images of others (found on the bench).
+        for job in sorted(
+            self.idle_line,
+            key=lambda job: (not job.beginning, min(ready.urgency(job), USUAL), job.spec.image not in room.images),
+        ):
             if room.count(job.spec) and job.runnable and not job.spec.gang:
                 waiting = self._idle_claims(job)
                 if waiting and not self.health.paused(job.spec.id, now):
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -440,3 +440,27 @@
     answers.replica.stored(13, {t.job_key(B): row})
     answers.read()
     assert not answers.replica.loaded
+
+
+def test_an_urgent_stage_does_not_stand_behind_work_whose_image_is_at_hand(world: World) -> None:
+    """Failure found on the bench: it waited for twenty seconds while machines filled up with their images' jobs."""
+    world.store.put(t.team_key("red"), {"c0.1": [20.0, 0.0]})
+    for name, urgency, image in ((A, "best_effort", "img-2"), (B, "standard", "img-2"), (C, "urgent", "img-1")):
+        world.store.job(spec(name, urgency=urgency, kit=image))
+        world.store.progress(name, c0_1=0b1111)
+    machine = world.machines.yard.machines["vm-1"]
+    machine.images["img-2"] = None
+    jobs = world.store.tables.jobs
+    world.machines.idle_line = [jobs[A], jobs[B], jobs[C]]
+    world.machines._fill(machine)
+    assert set(world.machines.yard.placed) == {C}
+    # Among usual ones the image still decides, whatever their priority.
+    for attempt in list(machine.attempts.values()):
+        world.machines.yard.drop(machine, attempt)
+    machine.images.clear()
+    machine.images["img-1"] = None
+    world.store.job(spec(D, urgency="best_effort", kit="img-1"))
+    world.store.progress(D, c0_1=0b1111)
+    world.machines.idle_line = [jobs[B], jobs[D]]
+    world.machines._fill(machine)
+    assert set(world.machines.yard.placed) == {D}
