Machines are looked for once all that a job still waits for has begun

Ruled out: images, claims, priority. A job is counted in the fleet's needs as soon as all that it still awaits has begun.

--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sloeswitch.core.quota import Use, fits_type, room_for
-from sloeswitch.core.ready import targets
+from sloeswitch.core.ready import begun, targets
 from sloeswitch.core.tables import Job, Tables
 from sloeswitch.settings import Settings
 from sloeswitch.wire import JobSpec, MachineType
@@ -57,13 +57,20 @@
     return min(job.left, math.ceil(job.left * estimate / max(span, estimate)))
 
 
+def soon(job: Job, tables: Tables) -> bool:
+    """Whether all that the job still waits for has begun: a machine may be up by the time that it is released."""
+    if not job.waits or job.condemned:
+        return False
+    return all(begun(tables.jobs[name]) for name in job.spec.awaits if name in tables.jobs)
+
+
 def needs(tables: Tables, settings: Settings, wall_ms: int, spread: float) -> list[Need]:
-    """What the jobs that wait for no other need, within the teams' limits, oldest first."""
+    """What the jobs need that wait for no other, or for what has begun, within the teams' limits, oldest first."""
     left = {name: [team.cpus_max, team.gpus_max] for name, team in settings.teams.items()}
     found = []
     for job in sorted(tables.jobs.values(), key=lambda job: job.born):
         limit = left.get(job.spec.team)
-        if not job.runnable or limit is None:
+        if limit is None or not (job.runnable or soon(job, tables)):
             continue
         spec = job.spec
         tasks = min(at_once(job, settings, wall_ms, spread), room_for(spec, (limit[0], limit[1]), Use()))
