Urgent work that is late keeps its place

Ruled out: room (skill-check of the same pipelines began in 8 s), the limit of its team, ordinary machines (hundreds up). Only above the usual priority; the order of all other work stays.

--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -65,8 +65,6 @@
     return int(time.time() * 1000)
 
 
-# The priority that work usually has.
-USUAL = ready.RANK["standard"]
 # Machines that are not needed are emptied once no more than this part of them is in use.
 LEAN = 0.5
 
@@ -698,7 +696,11 @@
         # waited for twenty seconds beside machines that had the images of others (found on the bench).
         for job in sorted(
             self.idle_line,
-            key=lambda job: (not job.beginning, min(ready.urgency(job), USUAL), job.spec.image not in room.images),
+            key=lambda job: (
+                not job.beginning,
+                min(ready.urgency(job), ready.USUAL),
+                job.spec.image not in room.images,
+            ),
         ):
             if room.count(job.spec) and job.runnable and not job.spec.gang:
                 waiting = self._idle_claims(job)
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -16,6 +16,8 @@
 from sloeswitch.wire import URGENCIES, JobSpec
 
 RANK = {name: number for number, name in enumerate(URGENCIES)}
+# The priority that work usually has.
+USUAL = RANK["standard"]
 
 
 def deadlines(spec: JobSpec, objectives: tuple[Objective, ...]) -> set[float]:
@@ -147,7 +149,9 @@
     more than its guarantee the oldest work is promised nothing, and counted as guaranteed it kept urgent jobs
     waiting (found on the bench). Then priority, and jobs that have missed no target
     yet before those that have. Jobs which cannot meet a target any more stand behind those which can: when a
-    class comes faster than its team's limit allows, plain age would make every job late. How long a job may
+    class comes faster than its team's limit allows, plain age would make every job late. Not so what is more
+    urgent than usual: the stages of a pipeline whose deadline had passed by its estimates waited for four minutes
+    behind refreshes (found on a recorded day). How long a job may
     stand back is bounded: one that waited too long for its beginning stands in the line twice, in front for a
     part of its tasks (`beginning`) and in its ordinary place for the rest.
     """
@@ -173,7 +177,7 @@
             back = 2
         if back < 2:
             key = (back, False, False, 0, 0, float(job.born))
-        elif missed and start_by_s is None:
+        elif missed and start_by_s is None and urgency(job) >= USUAL:
             # Only the end of all work is at stake: the longest tasks first, so that none is left over.
             key = (back, True, False, 0, 0, -spec.estimate_s)
         else:
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -471,3 +471,13 @@
     world.machines.idle_line = [jobs[B], jobs[D]]
     world.machines._fill(machine)
     assert set(world.machines.yard.placed) == {D}
+
+
+def test_an_urgent_stage_that_is_late_keeps_its_place(store: Store) -> None:
+    """Failure found on a recorded day: it waited for sixteen leases behind best-effort work."""
+    store.job(spec(A, urgency="best_effort", dueS=30.0, visits=20))
+    store.job(spec(B, urgency="best_effort", dueS=500.0, visits=20))
+    store.job(spec(C, urgency="urgent", awaits=[A], dueS=35.0, visits=20))
+    assert line(store, 60_000, AIMS) == [A, B]  # late, and urgent for what needs it
+    store.put(t.job_key(C), {"s": t.WITHDRAWN, "n": 20})
+    assert line(store, 60_000, AIMS) == [B, A]
