--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -58,14 +58,16 @@
 
 
 def soon(job: Job, tables: Tables) -> bool:
-    """Whether all that the job still waits for has begun: a machine may be up by the time that it is released."""
-    if not job.waits or job.condemned:
+    """Whether all that the job still waits for has begun and it may not use spot machines: of the others there are
+    few, and one may be up by the time that it is released. The rest finds room; looked for ahead as well, it cost
+    more than it gained (found on the bench)."""
+    if job.spec.spot or not job.waits or job.condemned:
         return False
     return all(begun(tables.jobs[name]) for name in job.spec.awaits if name in tables.jobs)
 
 
 def needs(tables: Tables, settings: Settings, wall_ms: int, spread: float) -> list[Need]:
-    """What the jobs need that wait for no other, or for what has begun, within the teams' limits, oldest first."""
+    """What the jobs need that are released, or soon will be, within the teams' limits, oldest first."""
     left = {name: [team.cpus_max, team.gpus_max] for name, team in settings.teams.items()}
     found = []
     for job in sorted(tables.jobs.values(), key=lambda job: job.born):
