A team's urgent work has its guarantee first

Urgent work counts against the guarantee with its like only; sites without such work are not touched.

--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -98,6 +98,7 @@
     for name, before_ in was.items():
         if before_ != (jobs[name].inherited_rank, jobs[name].inherited_ms):
             jobs[name].targets = None
+            jobs[name].guaranteed = None
 
 
 def urgency(job: Job) -> int:
@@ -147,24 +148,26 @@
     short jobs have little, and were late behind long ones (found on the bench). What lay within its team's
     guarantee when it came goes first, since it need not wait for others. It is decided once: of a team that has
     more than its guarantee the oldest work is promised nothing, and counted as guaranteed it kept urgent jobs
-    waiting (found on the bench). Then priority, and jobs that have missed no target
-    yet before those that have. Jobs which cannot meet a target any more stand behind those which can: when a
-    class comes faster than its team's limit allows, plain age would make every job late. Not so what is more
-    urgent than usual: the stages of a pipeline whose deadline had passed by its estimates waited for four minutes
-    behind refreshes (found on a recorded day). How long a job may
-    stand back is bounded: one that waited too long for its beginning stands in the line twice, in front for a
-    part of its tasks (`beginning`) and in its ordinary place for the rest.
+    waiting (found on the bench). What is more urgent than usual counts only against its like, as a team's urgent
+    work has its guarantee first: a small stage of a pipeline waited for two minutes behind what had come within other
+    guarantees (found on a recorded day). Then priority, and jobs that have missed no target yet before those that
+    have. Jobs which cannot meet a target any more stand behind those which can: when a class comes faster than its
+    team's limit allows, plain age would make every job late. Not so what is more urgent than usual: the stages of a
+    pipeline whose deadline had passed by its estimates waited for four minutes behind refreshes (found on a recorded
+    day). How long a job may stand back is bounded: one that waited too long for its beginning stands in the line
+    twice, in front for a part of its tasks (`beginning`) and in its ordinary place for the rest.
     """
     if tables.graph.changed:
         inherit(tables, settings)
     live = sorted((job for job in tables.jobs.values() if job.runnable), key=lambda job: job.born)
-    wanted: dict[str, tuple[float, float]] = {}
+    wanted: dict[tuple[str, bool], tuple[float, float]] = {}
     keyed: list[tuple[tuple[int, bool, bool, int, int, float], Job]] = []
     for job in live:
         spec = job.spec
-        cores, gpus = wanted.get(spec.team, (0.0, 0.0))
-        cores, gpus = cores + spec.tasks * spec.cores, gpus + spec.tasks * spec.gpus
-        wanted[spec.team] = (cores, gpus)
+        for like in (False, True) if urgency(job) < USUAL else (False,):
+            cores, gpus = wanted.get((spec.team, like), (0.0, 0.0))
+            cores, gpus = cores + spec.tasks * spec.cores, gpus + spec.tasks * spec.gpus
+            wanted[spec.team, like] = (cores, gpus)
         age_s = (wall_ms - job.submitted_ms) / 1000
         back = standing_back(has_begun(job), (wall_ms - job.ready_ms) / 1000, settings.lease_s)
         team = settings.teams.get(spec.team)
