--- a/tests/test_adoptions.py
+++ b/tests/test_adoptions.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from sloeswitch.actors.jobs import Learnt
+from sloeswitch.actors.jobs import Learnt, Steal
 from sloeswitch.core import tables as t
 from sloeswitch.core import taskset
 from sloeswitch.state import Outcome
@@ -80,6 +80,8 @@
 def test_a_late_adoption_is_carried_out_once_or_never(world: World) -> None:
     world.client.lose_answers = 1
     adopt(world, 4)
+    conditions, writes, _drops = world.client.late[0]
+    assert [conditions[key] for key in writes if key.startswith(t.adoption_key("c0.1", 0)[:-1])] == [0]
     assert all(world.store.tables.jobs[name].progress.claims["c0.1"] == HALF for name in NAMES)
     assert world.client.apply(*world.client.late[0])[0] is Outcome.CONFLICT
     # Late in the other order: it comes first, and what was tried again under its key fails.
@@ -87,6 +89,28 @@
     assert world.client.apply(*world.client.late[0])[0] is Outcome.CONFLICT
 
 
+def test_adoptions_and_allowances_of_many_teams_keep_within_a_transaction(store: Store) -> None:
+    """The scripted state service refuses more than four changes."""
+    more = "".join(
+        f'[[deployment.teams]]\nname = "t{n}"\ncpus = 4.0\ncpus_max = 9.0\ngpus = 0.0\ngpus_max = 0.0\n'
+        for n in range(5)
+    )
+    store.upgraded()
+    world = World(store, NARROW.replace("[deployment.workers]", more + "[deployment.workers]"))
+    world.client.share = lambda: 3
+    names = [f"wk-{number:06d}" for number in range(5)]
+    for number, name in enumerate(names):
+        store.job(spec(name, crew=f"t{number}", visits=4, cores=1.0))
+        store.progress(name, c1_9=0b1)
+    world.tell_jobs(Learnt(adopted=dict.fromkeys(names, 1), view=3))
+    for _ in range(8):
+        grow = {f"t{number}": (3.0, 0.0) for number in (2, 3)}
+        world.round(Steal(wants={names[2]: 2, names[3]: 2}, grow=grow))
+    claims = [store.tables.jobs[name].progress.claims for name in names]
+    assert all(held.keys() == {"c0.1"} and held["c0.1"] & 1 for held in claims)
+    assert all(held["c0.1"].bit_count() > 1 for held in claims[2:4])  # claims are made beside
+
+
 def test_adoptions_of_a_run_in_the_view_are_kept_and_those_of_former_ones_dropped(world: World) -> None:
     world.store.put(t.COORD, {"member": "c0", "boot": 1})
     adopt(world, 3)
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.jobs import Jobs, Learnt, Steal
+from sloeswitch.actors.jobs import Learnt, Steal
 from sloeswitch.actors.users import Users
 from sloeswitch.core import fleet, ready
 from sloeswitch.core import tables as t
@@ -97,6 +97,17 @@
     assert line(world.store) == [B, C, D]
 
 
+def test_a_released_job_is_as_old_as_its_release(store: Store) -> None:
+    """Its team's guarantee, and its turn among the old, count from when it could have begun."""
+    store.job(spec(A))
+    store.job(spec(B, visits=4, awaits=[A]))
+    store.job(spec(C, visits=3))
+    done(store, A)
+    assert line(store) == [C, B]
+    jobs = store.tables.jobs
+    assert jobs[C].guaranteed and not jobs[B].guaranteed and jobs[B].born > jobs[C].born
+
+
 def test_prerequisites_that_end_at_two_controllers_release_once_both_are_stored(store: Store) -> None:
     for name in (A, B):
         store.job(spec(name))
@@ -316,14 +327,16 @@
     for name in names:
         done(store, name)
 
-    async def lose_the_row(jobs: Jobs) -> None:
-        head = await jobs._store_parts(spec("wk-100001", awaits=names))
-        assert head is not None
-        value = {"s": t.LIVE, "n": 4, "t": 0, "parts": list(head[:2])}
-        conditions = {t.job_key("wk-100001"): 0, t.part_key("wk-100001", head[0], 0): head[2]}
-        world.client.late.append((conditions, {t.job_key("wk-100001"): value}, []))
+    # The row's own answer is lost, four parts before it are stored.
+    commit = world.client.commit
+
+    async def lose_the_row(conditions: dict[str, int], writes: dict[str, Any], *rest: Any, **more: Any) -> Any:
+        world.client.lose_answers = int(t.job_key("wk-100001") in writes)
+        return await commit(conditions, writes, *rest, **more)
 
-    anyio.run(lose_the_row, world.jobs)
+    world.client.commit = lose_the_row  # type: ignore[method-assign]
+    assert submit(world, "wk-100001", *names) == 503
+    assert len(world.client.late) == 1 and store.tables.parts
     assert status_code(world, "wk-100001") == 404
     anyio.run(world.jobs._clear_away)
     world.clock.time += 5 * world.settings.lease_s
