A machine on which a cancelled task may be is deleted in time, also in an outage

Cause (by reading): a machine that hangs gives its tasks up only when it goes on. It was deleted as silent, but not while most machines were silent, nor while the state service was down, and once our books said that its lease was over nothing told that a cancelled task might still be on it. Nor did a new owner know since when a user had been told.

Change: each machine keeps since when a cancelled task may be on it, by the time stored with the cancellation (field x of its row, which production skips). After half of cancel_s it is deleted, by whoever may answer machines. A controller that stood still deletes nothing on what it knew.

--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -56,6 +56,8 @@
         self.refused: dict[Kind, float] = {}
         # Machines on their way back; True for those that the coordinator gives back, whoever owns them.
         self.returning: dict[str, bool] = {}
+        # Those of them on which cancelled tasks may be.
+        self.pressing: set[str] = set()
         self.wake = anyio.Event()
         self.bookings = 0
         self.listed_at = float("-inf")
@@ -64,11 +66,14 @@
 
     # -- returning
 
-    def give_back(self, machine: str, listed: bool = False) -> bool:
-        """Has the machine deleted. False when that is under way already."""
-        if machine in self.returning:
+    def give_back(self, machine: str, listed: bool = False, pressing: bool = False) -> bool:
+        """Has the machine deleted; if `pressing`, also while this controller may only answer machines. False when
+        that is under way already."""
+        if machine in self.returning and pressing <= (machine in self.pressing):
             return False
         self.returning[machine] = listed
+        if pressing:
+            self.pressing.add(machine)
         self.wake.set()
         return True
 
@@ -84,14 +89,19 @@
             if not self.returning:
                 await self.wake.wait()
             self.wake = anyio.Event()
-            if not self.standing.may_act:
+            pressing = list(self.pressing) if self.standing.may_answer else []
+            if not self.standing.may_act and not pressing:
                 await anyio.sleep(self.settings.report_s / 4)
                 continue
             # Guards against a controller that stood still, or lost the state service, since it decided: the
             # machine may have another owner by now, and work on it.
             for name in [name for name in self.returning if not self._still_ours(name)]:
-                del self.returning[name]
-            batch = list(self.returning)[:100]
+                if self.standing.may_act:
+                    del self.returning[name]
+                    self.pressing.discard(name)
+            # Those on which cancelled tasks may be go first; the others only while we may act.
+            others = [name for name in self.returning if name not in self.pressing] if self.standing.may_act else []
+            batch = [name for name in (*pressing, *others) if name in self.returning][:100]
             if not batch:
                 continue
             try:
@@ -102,6 +112,7 @@
                 continue
             for name in batch:
                 self.returning.pop(name, None)
+                self.pressing.discard(name)
                 self.expected.pop(name, None)
             assert self.machines is not None
             self.machines.tell(Deleted(batch))
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -603,6 +603,8 @@
             conditions = {key: job.stamp}
             if job.progress_stamp:
                 value = stored_job(WITHDRAWN, job.spec, job.submitted_ms, job.parts)
+                # Whoever has its tasks then is to be done with them in time, over changes of owner too.
+                value["x"] = int(time.time() * 1000)
             else:
                 # Never claimed, so nowhere: it is over with the same change.
                 value = stored_end(WITHDRAWN, job.spec)
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -67,6 +67,9 @@
 
 # Machines that are not needed are emptied once no more than this part of them is in use.
 LEAN = 0.5
+# A machine on which a cancelled task may be is deleted after this part of the time in which the task must be gone.
+# By then a worker that merely hears nothing has given up by its lease; the rest is for the cloud's rate and retries.
+OVERDUE = 0.5
 
 
 def movable(attempt: Attempt, now: float) -> bool:
@@ -403,6 +406,14 @@
         unreached = silent > 2.2 * self.settings.report_s or not machine.reached
         if unreached and self.yard.withdraw_unsent(machine):
             self.wake.set()
+        if (
+            machine.cancelled_since is not None and now - machine.cancelled_since > OVERDUE * self.settings.cancel_s
+            and self.standing.may_answer
+        ):  # fmt: skip
+            # Whether it hangs, is cut off or hears nothing: its deletion ends what is on it in time, also while
+            # the state service is down. Should it have got another owner after all, that one counts it as silent:
+            # work is lost, nothing is started twice.
+            self._return(machine, "cancelled tasks may be on it", pressing=True)
         patience = max(3.5 * self.settings.report_s, 0.35 * self.settings.lease_s)
         failed = self.probe_failed.get(machine.name, 0)
         if silent > patience and failed >= 2 and self.standing.may_act and not self._blind(now):
@@ -452,9 +463,9 @@
         )  # fmt: skip
         return len(heard) > 3 and late > 0.75 * len(heard)
 
-    def _return(self, machine: Machine, why: str) -> None:
+    def _return(self, machine: Machine, why: str, pressing: bool = False) -> None:
         machine.draining = True
-        if self.fleet is not None and self.fleet.give_back(machine.name):
+        if self.fleet is not None and self.fleet.give_back(machine.name, pressing=pressing):
             log.info("%s goes back: %s", machine.name, why)
 
     def _deleted(self, machines: list[str]) -> None:
@@ -566,21 +577,33 @@
             waiting = self._idle_claims(job)
             if waiting and not self._on_machine(name):
                 self._release(name, waiting)
-        over = set()
+        over: dict[str, Job | None] = {}
         for name in self.yard.placed:
             record = self.tables.jobs.get(name)
             if record is None or record.cancelled:
-                over.add(name)
+                over[name] = record
         if not over:
             return
+        now = self.now()
         for machine in self.yard.machines.values():
             for attempt in list(machine.attempts.values()):
                 if attempt.job in over:
                     self._kill(machine, attempt, 0.0)
+                    if machine.attempts.get(attempt.task) is attempt:
+                        self._note_cancelled(machine, attempt, over[attempt.job], now)
 
     def _on_machine(self, job: str) -> bool:
         return any(key[0].startswith(job + "/") for machine in self.yard.machines.values() for key in machine.unwanted)
 
+    def _note_cancelled(self, machine: Machine, attempt: Attempt, job: Job | None, now: float) -> None:
+        """A task of a cancelled job may be on the machine: since when a user may have been told, by our own clock.
+        The time that is stored with the cancellation holds over changes of owner."""
+        attempt.killed_at = attempt.killed_at or now
+        since = attempt.killed_at
+        if job is not None and job.cancelled_ms:
+            since = min(since, now - max(0, wall_ms() - job.cancelled_ms) / 1000)
+        machine.cancelled_since = min(since, now if machine.cancelled_since is None else machine.cancelled_since)
+
     def _kill(self, machine: Machine, attempt: Attempt, grace_s: float) -> None:
         if self.yard.kill(machine, attempt, grace_s) and machine.heard:
             assert self.group is not None
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -8,7 +8,7 @@
     catalog    {...}                 machine types, as the cloud last told them
     c/TYPE     {...}                 one machine type, where all together fit no value
     j/JOB      {"s", "n", ...}       a job: "live", "done" or "withdrawn"; the spec until it is over, then
-                                     the time of its end
+                                     the time of its end; "x" once withdrawn: the time of the cancellation
     p/JOB/TRY/N  TEXT                a part of a spec that fits no value; the job's row names the try
     r/JOB      {"d", "c", "z", "e"}  its progress: done tasks, claims by controller, zone; the epoch up to which
                                      adoptions are in it
@@ -217,6 +217,8 @@
     waits: int = 0
     # Whether one that it needs, directly or through others, is cancelled.
     condemned: bool = False
+    # When its user cancelled it, by the clock of whoever stored that; 0 if it is not told.
+    cancelled_ms: int = 0
     # When the last that it needs was done; its submission when it needs none.
     ready_ms: int = 0
     # Of those that need it: the highest priority, and the times by which it must be done for the first and
@@ -444,6 +446,7 @@
         if known is not None:
             known.status = WITHDRAWN if name in self.told else value["s"]
             known.stamp = stamp
+            known.cancelled_ms = value.get("x", 0)
             if known.cancelled:
                 self.graph.cancelled(name)
             return
@@ -460,6 +463,7 @@
         # Guards against a reading that was under way when a sibling told of the cancellation.
         status = WITHDRAWN if name in self.told else value["s"]
         job = Job(spec, status, stamp, stamp, value["t"], parts=parts, ready_ms=value["t"])
+        job.cancelled_ms = value.get("x", 0)
         if name in self._early:
             job.progress, job.progress_stamp = self._early.pop(name)
         self.jobs[name] = job
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -39,6 +39,7 @@
     sent_serial: int | None = None
     kill_grace_s: float | None = None
     placed_at: float = 0.0
+    killed_at: float = 0.0
     running_at: float | None = None
 
     def __post_init__(self) -> None:
@@ -79,6 +80,9 @@
     gone_at: float = float("inf")
     notice_s: float | None = None
     draining: bool = False
+    # Since when users have been told of a cancellation of which a task may be on it. It outlasts our books'
+    # word that the lease is over: a machine that hangs gives its tasks up only when it goes on.
+    cancelled_since: float | None = None
     spared: bool = False
     attempts: dict[Task, Attempt] = field(default_factory=dict)
     # The same attempts by what reports call them, what they use together, and their images.
@@ -296,6 +300,8 @@
         if machine.exited:
             for key in [key for key in machine.exited if key not in kept]:
                 del machine.exited[key]
+        if machine.cancelled_since is not None and all(a.kill_grace_s is None for a in machine.attempts.values()):
+            machine.cancelled_since = None
         machine.unwanted.clear()
         for task, item in foreign:
             self._foreign(machine, task, item, first, tables, heard, now)
