--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -55,6 +55,7 @@
 
 def deleted(world: World) -> list[str]:
     assert world.machines.fleet is not None
+    world.machines.fleet.wake = anyio.Event()  # of this event loop
     return deletions(world, world.machines.fleet)
 
 
