--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -252,6 +252,10 @@
                 gained = self._claim(job, progress, want, steal)
             if gained or adopting:
                 claimed = True
+            if not progress.claims:
+                # None of its tasks is anywhere, so that none binds the others to a zone. Guards against a job that
+                # waits for ever in a zone whose machines are gone.
+                progress.zone = None
             size += self._put(job, progress, conditions, writes)
         for team, held in teams.items():
             value = {tag: list(amounts) for tag, amounts in held.items() if amounts[0] > 0 or amounts[1] > 0}
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -133,6 +133,9 @@
         self.least_cores = 0.0
         self.limbo_uses: dict[str, quota.Use] = {}
         self.watch_at = 0.0
+        self.ticked_at = float("-inf")
+        # Since when reports have been answered without a break: who is silent longer than that may be well.
+        self.answering_since = float("-inf")
         self.summary_at = 0.0
         self.pace_s = max(settings.report_s / 10, settings.lease_s / 60)
         # Work is claimed about this long before it can start.
@@ -334,15 +337,19 @@
 
     def _tick(self) -> None:
         standing = self.standing
+        now = self.now()
+        if not standing.may_answer or now - self.ticked_at > 2.2 * self.settings.report_s:
+            self.answering_since = now
+        self.ticked_at = now
         if not standing.included:
             if standing.boot != self.boot:
                 self._follow_view()
             return
         self._follow_view()
-        now = self.now()
         if now >= self.summary_at:
             self.summary_at = now + 2 * self.settings.lease_s
             self._summary()
+            self._take_unknown()
         if now >= self.watch_at:
             self.watch_at = now + self.settings.report_s / 4
             for machine in list(self.yard.machines.values()):
@@ -365,6 +372,17 @@
             self._steal()
         self._tell_jobs()
 
+    def _take_unknown(self) -> None:
+        """Machines of ours in the tables that the yard lacks. Guards against a registration that is carried out late,
+        after its machine was deleted and left out: nobody would look after it, and it would count as supply."""
+        gone_at = self.now() + self.settings.takeover_gone_s
+        for name, row in self.tables.machines.items():
+            if name not in self.yard.machines and name not in self.unregistering:
+                if self.standing.owner(name) != self.settings.member:
+                    continue
+                log.info("%s is in the tables and was not looked after", name)
+                self.yard.take(name, row.address, row.type, row.zone, row.spot, self.seen_view, gone_at)
+
     def _has_begun(self, job: Job) -> bool:
         """Claimed by us and nowhere yet is not begun: it must not lose its place in the line for that."""
         claims = job.progress.claims
@@ -403,7 +421,12 @@
         silent = now - max(machine.heard_at, machine.answered_at, machine.gone_at - self.settings.takeover_gone_s)
         if (machine.heard and silent > 2.2 * self.settings.report_s) or not machine.known:
             self._probe(machine, now)
-        unreached = silent > 2.2 * self.settings.report_s or not machine.reached
+        mute_s = deaf_s = 0.0
+        if machine.reported_at is not None:
+            mute_s = now - max(machine.reported_at, self.answering_since)
+        if machine.heard:
+            deaf_s = now - max(machine.reached_at, self.answering_since)
+        unreached = max(silent, mute_s) > 2.2 * self.settings.report_s or not machine.reached
         if unreached and self.yard.withdraw_unsent(machine):
             self.wake.set()
         if (
@@ -418,12 +441,9 @@
         failed = self.probe_failed.get(machine.name, 0)
         if silent > patience and failed >= 2 and self.standing.may_act and not self._blind(now):
             self._return(machine, "silent")
-        elif (
-            machine.heard and now - machine.reached_at > 2 * self.settings.lease_s
-            and self.standing.may_act and not self._blind(now)
-        ):  # fmt: skip
-            # Its reports come and nothing reaches it: by now its lease is over and it has nothing on it, and
-            # it would be paid for in vain for as long as that lasts.
+        elif max(mute_s, deaf_s) > 2 * self.settings.lease_s and self.standing.may_act and not self._blind(now):
+            # Its reports come and nothing reaches it, or it answers commands and cannot report: by now its lease is
+            # over and it has nothing on it, and it would be paid for in vain for as long as that lasts.
             self._return(machine, "unreached")
         elif self.health.machine_faulty(machine.name) and self.standing.may_act:
             machine.draining = True
@@ -459,8 +479,10 @@
         """Most machines silent or unreached at once points to our own network; then their leases must do."""
         heard = [machine for machine in self.yard.machines.values() if machine.heard]
         late = sum(
-            now - machine.heard_at > 2.2 * self.settings.report_s or not machine.reached for machine in heard
-        )  # fmt: skip
+            now - min(machine.heard_at, machine.reported_at or 0.0) > 2.2 * self.settings.report_s
+            or not machine.reached
+            for machine in heard
+        )
         return len(heard) > 3 and late > 0.75 * len(heard)
 
     def _return(self, machine: Machine, why: str, pressing: bool = False) -> None:
@@ -657,8 +679,10 @@
             kind is None
             or self.yard.free_cores(machine, kind) + quota.SLACK < self.least_cores
             or not self.yard.usable(machine)
-            # A machine that misses its reports gets nothing new.
-            or now - machine.heard_at >= 2.2 * self.settings.report_s
+            # A machine that misses its reports gets nothing new. Guards against one that answers commands and cannot
+            # report: it was given work again and again, which was taken back when no report came to be answered.
+            or machine.reported_at is None
+            or now - machine.reported_at >= 2.2 * self.settings.report_s
             or machine.name not in self.tables.machines
             or self.health.machine_faulty(machine.name)
         ):
--- a/sloeswitch/core/quota.py
+++ b/sloeswitch/core/quota.py
@@ -36,8 +36,12 @@
     together = spec.tasks if spec.gang else 1
     if room_for(spec, (team.cpus_max, team.gpus_max), Use()) < together:
         return "over the team's limit"
-    if not any(fits_type(spec, kind) for kind in types.values()):
+    fitting = [kind for kind in types.values() if fits_type(spec, kind)]
+    if not fitting:
         return "fits no machine type"
+    zones = {zone for kind in fitting for zone in kind.zones} if spec.zone is None else {spec.zone}
+    if spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) < 2):
+        return "cannot be spread over one zone"
     return None
 
 
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -77,6 +77,8 @@
     reached_at: float = float("-inf")
     answered_at: float = float("-inf")
     heard_at: float = float("-inf")
+    # The last report of its own accord; the first word of any kind under this ownership counts as one.
+    reported_at: float | None = None
     gone_at: float = float("inf")
     notice_s: float | None = None
     draining: bool = False
@@ -141,6 +143,7 @@
         self._to_limbo(machine)
         machine.since_token = token
         machine.heard = machine.accounted = False
+        machine.reported_at = None
         machine.serial = machine.session = 0
         machine.gone_at = gone_at
         machine.exited.clear()
@@ -289,6 +292,8 @@
         machine.session, machine.serial = report.session, report.serial
         machine.heard, machine.accounted = True, True
         machine.heard_at = now
+        if beat or machine.reported_at is None:
+            machine.reported_at = now
         machine.notice_s = report.notice_s
         machine.address = report.address
         if same != len(machine.attempts):
--- a/sloeswitch/state.py
+++ b/sloeswitch/state.py
@@ -207,6 +207,9 @@
         self.whole = False
         # The tables hold everything the state service held at this time.
         self.fresh_at = float("-inf")
+        # Fresh reads by number: the last one that was sent, and the last that was answered.
+        self._sent = 0
+        self._read = 0
         self.changed = anyio.Event()
         self._listeners: list[Callable[[], None]] = []
         self._next: anyio.Event | None = None
@@ -221,17 +224,18 @@
         group.start_soon(self._serve_reads)
 
     async def fresh(self, timeout_s: float) -> None:
-        """Returns once the tables hold all that was stored when this was called; Stale otherwise."""
-        since = self.now()
+        """Returns once the tables hold all that was stored when this was called; Stale otherwise. Guards against a
+        clock that goes in steps: only a read that is sent after the call serves it, by its number."""
+        needed = self._sent + 1
         try:
             with anyio.fail_after(timeout_s):
-                while self.fresh_at < since:
+                while self._read < needed:
                     if self._next is None:
                         self._next = anyio.Event()
                     waiter = self._next
                     self._wanted.set()
                     await waiter.wait()
-                    if self.fresh_at < since and not self.client.reachable:
+                    if self._read < needed and not self.client.reachable:
                         raise Stale
         except TimeoutError:
             raise Stale from None
@@ -297,7 +301,9 @@
             try:
                 sent = self.now()
                 if self.loaded:
+                    self._sent += 1
                     await self._read_changes(0.0)
+                    self._read = self._sent
                     self.fresh_at = max(self.fresh_at, sent)
             except NoAnswer:
                 await anyio.sleep(self.gap_s / 4)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -8,16 +8,22 @@
 import anyio
 import pytest
 
+from sloeswitch import wire
 from sloeswitch.actors import machines
 from sloeswitch.actors.fleet import Fleet
+from sloeswitch.actors.jobs import Learnt, Steal
 from sloeswitch.actors.machines import OVERDUE
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellations
 from sloeswitch.core.yard import Machine
-from tests.conftest import Store, report, spec
-from tests.test_actors import JOB, World, machine_up
+from sloeswitch.http import Reply
+from sloeswitch.settings import parse
+from sloeswitch.state import Replica, StateClient
+from tests.conftest import SETTINGS, Store, report, spec, submission
+from tests.test_actors import JOB, Clock, World, machine_up
 from tests.test_added_rules import Cloud, beat, deletions, later, running
 from tests.test_gap import told
+from tests.test_pipelines import submit
 
 
 @pytest.fixture
@@ -130,3 +136,156 @@
     assert deleted(world) == []
     later(world, 0.0)
     assert deleted(world) == []  # nor on what it thought of then
+
+
+# -- users ask at all nodes within milliseconds
+
+
+def test_a_read_under_way_does_not_serve_who_asks_after_it_was_sent(store: Store) -> None:
+    """The clock stands still meanwhile, as one that goes in steps does: what another node told in between must be
+    in the answer."""
+    settings = parse(SETTINGS)
+    clock = Clock()
+    answers: list[wire.Changes] = []
+
+    class Slow(StateClient):
+        reads = 0
+
+        async def call(self, method: str, path: str, body: Any, urgency: Any, hold_s: float = 0.0) -> Reply:
+            self.reads += 1
+            answer = wire.Changes(self.reads, list(answers[-1].events) if answers else [])
+            await anyio.sleep(0)
+            await anyio.sleep(0)
+            return Reply(200, wire.encode(answer))
+
+    client = Slow(settings, lambda: 1, clock)
+    replica = Replica(client, store.tables, clock)
+    replica.loaded = True
+    store.job(spec())
+    seen: list[str] = []
+
+    async def play() -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(replica._serve_reads)
+            group.start_soon(replica.fresh, 1.0)
+            while not client.reads:
+                await anyio.sleep(0)
+            # The first read is on its way; another node stores and tells a cancellation now.
+            row = dict(store.rows[t.job_key(JOB)][0], s=t.WITHDRAWN)
+            answers.append(wire.Changes(9, [wire.Event(9, write=t.job_key(JOB), value=row)]))
+            await replica.fresh(1.0)
+            seen.append(store.tables.jobs[JOB].status)
+            group.cancel_scope.cancel()
+
+    anyio.run(play)
+    assert seen == [t.WITHDRAWN] and client.reads == 2
+
+
+# -- machines that cannot report, and late registrations
+
+
+def test_a_machine_that_only_answers_commands_gets_no_work_and_goes_back(world: World) -> None:
+    world.machines.probing["vm-1"] = world.clock.time + 1000.0
+    world.machines._tick()
+    world.store.job(spec())
+    world.round(Steal(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
+    assert JOB in world.machines.yard.placed
+    serial = 10
+    begun = world.clock.time
+    while not deleted(world):
+        later(world, 1.0)
+        serial += 1
+        # Its lease runs out again and again, since direct commands do not renew it.
+        session = 1 + int((world.clock.time - begun) // (world.settings.lease_s + 1))
+        world.machines._direct(report(serial, 3, session=session))
+        world.machines._tick()
+        # It looks well by its answers; what was placed before is free for others.
+        assert (JOB in world.machines.yard.placed) == (world.clock.time - begun < 3.0)
+        assert world.clock.time - begun < 3 * world.settings.lease_s
+    assert world.clock.time - begun > 2 * world.settings.lease_s
+
+
+def test_after_an_outage_no_machine_goes_back_for_what_could_not_be_answered(world: World) -> None:
+    world.machines.probing["vm-1"] = world.clock.time + 1000.0
+    world.machines._tick()
+    for _ in range(5 * int(world.settings.lease_s)):
+        world.clock.time += 1.0
+        world.machines._tick()
+    later(world, 0.0)
+    world.machines._direct(report(90, 3, session=5))
+    world.machines._tick()
+    later(world, 2.0)
+    world.machines._tick()
+    assert deleted(world) == []
+
+
+def test_a_registration_carried_out_after_the_deletion_is_looked_after(world: World) -> None:
+    world.store.put(t.group_key("c0.1.9"), {"m": {"vm-8": ["127.0.0.1:9008", "small", "a", True]}})
+    later(world, 100.0)
+    world.machines._tick()
+    assert not world.machines.yard.machines["vm-8"].known
+    for _ in range(4):
+        later(world, 10.0)
+        world.machines.probe_failed["vm-8"] = 2
+        world.machines.watch_at = 0.0
+        world.machines._tick()
+    assert "vm-8" in deleted(world)
+
+
+# -- jobs bound to a zone
+
+
+@pytest.mark.parametrize("bound", [{"together": True}, {"spread": True}])
+def test_a_job_is_bound_to_a_zone_only_while_one_of_its_tasks_is_somewhere(world: World, bound: Any) -> None:
+    """Jobs bound to a zone, arrays too, lose all machines there."""
+    world.store.job(spec(**bound))
+    world.round(Steal(wants={JOB: 4}, zones={JOB: "b"}, grow={"red": (8.0, 0.0)}))
+    job = world.store.tables.jobs[JOB]
+    assert job.progress.zone == "b" and job.progress.claims
+    world.tell_jobs(Learnt(released={JOB: 0b0111}))
+    later(world, 20.0)
+    world.round()
+    assert job.progress.zone == "b"  # one is still claimed, and may be there
+    world.tell_jobs(Learnt(released={JOB: 0b1000}))
+    later(world, 20.0)
+    world.round()
+    assert job.progress.zone is None and not job.progress.claims
+    world.round(Steal(wants={JOB: 4}, zones={JOB: "a"}))
+    assert job.progress.zone == "a"
+
+
+# -- odd requests
+
+
+@pytest.mark.parametrize(
+    ("changes", "status"),
+    [
+        ({"spread": True, "district": "a"}, 422),
+        ({"spread": True, "together": True}, 422),
+        ({"spread": True, "visits": 1, "district": "a"}, 201),
+        ({"spread": True}, 201),
+        ({"builds": []}, 422),
+        ({"builds": ["none"]}, 422),
+        ({"district": "nowhere"}, 422),
+        ({"cores": 8.5}, 422),
+        ({"memoryGb": 17.0}, 422),
+        ({"accelerators": 1}, 422),
+        ({"shape": "group", "visits": 11}, 422),
+        ({"crew": "nobody"}, 422),
+        *(({name: ...}, 400) for name in submission() if name not in ("id", "builds", "district", "dueS")),
+        *(({name: {}}, 400) for name in submission() if name != "id"),
+    ],
+)
+def test_what_can_never_run_or_lacks_a_field_is_never_accepted(world: World, changes: Any, status: int) -> None:
+    assert submit(world, JOB, **changes) == status
+    # Before the machine types are known it is not decided; what is malformed is so at any time.
+    world.store.tables.types.clear()
+    undecided = 400 if status == 400 else 503
+    assert submit(world, "wk-000002", **changes) == undecided
+
+
+def test_a_repeat_of_a_known_job_is_answered_whatever_else_is_in_it(world: World) -> None:
+    assert submit(world, JOB) == 201
+    for changes in ({"visits": 7}, {"cores": 99.0}, {"crew": "nobody"}, {"kit": ...}, {"urgency": 5}):
+        assert submit(world, JOB, **changes) == 200
+    assert world.store.tables.jobs[JOB].spec.tasks == 4
