Small tasks leave large machines; lower priority stops for a gang of one

Ruled out: team limits (guarantee 0.295 of 0.94 with machines in use), boots (mamons were up from the start). Change: types that some live job fits and others not are filled last by tasks that fit any; lower priority stops for a gang of one, its room is held. Deployments whose jobs all fit all types place as before. Tests: tests/test_room.py; each guard taken out failed one.

--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -25,6 +25,7 @@
 from sloeswitch.core import placement, quota, ready, taskset
 from sloeswitch.core import tables as t
 from sloeswitch.core.health import Health
+from sloeswitch.core.quota import fits_type
 from sloeswitch.core.tables import LIVE, Job, Tables
 from sloeswitch.core.yard import FETCHING, RUNNING, Attempt, Heard, Machine, Yard
 from sloeswitch.http import Answer, Client, NoAnswer, refuse
@@ -129,6 +130,10 @@
         # As of the last tick: jobs in the order in which they get room, those of them with work claimed and
         # not placed, the smallest cores any wants, what limbo uses, and when machines are looked at again.
         self.line: list[Job] = []
+        # Machine types kept for jobs that fit no other, and machines on which room was made for a job, each until
+        # when it is held for that.
+        self.scarce: set[str] = set()
+        self.held: dict[str, tuple[str, float]] = {}
         self.idle_line: list[Job] = []
         self.least_cores = 0.0
         self.limbo_uses: dict[str, quota.Use] = {}
@@ -366,6 +371,7 @@
         if standing.may_answer:
             self._place_waiting()
         if standing.may_act:
+            self._make_room(now)
             if self.yard.settled(self.tables, standing.tag) and self.membership.settled != self.seen_view:
                 self.membership.tell(Settled(self.seen_view))
             self._register()
@@ -405,6 +411,7 @@
 
     def _line_up(self) -> None:
         self.line = ready.order(self.tables, self.settings, wall_ms(), self._has_begun)
+        self.scarce = placement.scarce_types((job.spec for job in self.line), self.tables.types)
         self.least_cores = min((job.spec.cores for job in self.line), default=0.0)
 
     def _reckon_limbo(self) -> None:
@@ -687,13 +694,17 @@
             or self.health.machine_faulty(machine.name)
         ):
             return None
-        return self.yard.room(machine, kind)
+        room = self.yard.room(machine, kind)
+        room.scarce = machine.type in self.scarce
+        return room
 
     def _rooms(self, now: float) -> list[placement.Room]:
         rooms = (self._room(machine, now) for machine in self.yard.machines.values())
         return [room for room in rooms if room is not None]
 
     def _usable(self, job: str, rooms: list[placement.Room]) -> list[placement.Room]:
+        if self.held:
+            rooms = [room for room in rooms if self.held.get(room.machine, (job, 0.0))[0] == job]
         if job not in self.health.jobs:
             return rooms
         return [room for room in rooms if not self.health.avoid(job, room.machine)]
@@ -749,6 +760,10 @@
                 job.spec.image not in room.images,
             ),
         ):
+            if room.scarce and any(
+                fits_type(job.spec, kind) for name, kind in self.tables.types.items() if name not in self.scarce
+            ):
+                continue  # placed there at the tick, if nowhere else
             if room.count(job.spec) and job.runnable and not job.spec.gang:
                 waiting = self._idle_claims(job)
                 if waiting and not self.health.paused(job.spec.id, now):
@@ -780,6 +795,63 @@
                 log.debug("%s: %.2f s since the last that it needs", name, (wall_ms() - job.ready_ms) / 1000)
         return True
 
+    def _make_room(self, now: float) -> None:
+        """Stops tasks of lower priority for a gang of one task that fits nowhere. The room is held for it until it
+        is placed or a worker lease is over. What stands before it in the line is not stopped, so that the bounds on
+        standing back hold for all. The controller at which its image is goes first, the others a report later each,
+        so that they do not all make room for the same job."""
+        self.held = {
+            name: (job, until) for name, (job, until) in self.held.items()
+            if now < until and (known := self.tables.jobs.get(job)) is not None and known.runnable and known.unstarted
+        }  # fmt: skip
+        if not self.scarce:
+            return
+        members = [member for member, _ in self.standing.view.members]
+        turn = members.index(self.settings.member)
+        held_for = {job for job, _ in self.held.values()}
+        rooms: dict[str, placement.Room] | None = None
+        place: dict[str, int] = {}
+        for position, job in enumerate(self.line):
+            place.setdefault(job.spec.id, position)
+        for job in self.line:
+            spec = job.spec
+            if not (spec.gang and spec.tasks == 1 and job.unstarted) or spec.id in held_for:
+                continue
+            wait = 4 * self.pace_s + (0 if self._at_home(job) else (1 + turn) * self.settings.report_s)
+            if now - self.met.get(spec.id, now) < wait or self.health.paused(spec.id, now):
+                continue
+            if not self.startable([spec]):
+                continue
+            if rooms is None:
+                rooms = {
+                    machine.name: self.yard.room(machine, self.tables.types[machine.type])
+                    for machine in self.yard.machines.values()
+                    if machine.type in self.scarce and machine.type in self.tables.types
+                    and self.yard.usable(machine) and machine.name in self.tables.machines
+                }  # fmt: skip
+            best: tuple[int, Machine, list[Attempt]] | None = None
+            for room in self._usable(spec.id, list(rooms.values())):
+                if not placement.allowed(spec, room) or not fits_type(spec, self.tables.types[room.type]):
+                    continue
+                machine = self.yard.machines[room.machine]
+                lower = [
+                    attempt for attempt in machine.attempts.values()
+                    if not attempt.spec.gang and attempt.kill_grace_s is None
+                    and ready.RANK[attempt.spec.priority] > ready.urgency(job)
+                    and place.get(attempt.job, len(place)) > place[spec.id]
+                ]  # fmt: skip
+                stopped = placement.victims(spec, room, lower)
+                if stopped and (best is None or len(stopped) < best[0]):
+                    best = (len(stopped), machine, stopped)
+            if best is None:
+                continue
+            _, machine, stopped = best
+            self.held[machine.name] = (spec.id, now + self.settings.lease_s)
+            del rooms[machine.name]
+            log.info("%s: %d tasks of lower priority stop on %s", spec.id, len(stopped), machine.name)
+            for attempt in stopped:
+                self._kill(machine, attempt, attempt.spec.save_s)
+
     def _number(self) -> int:
         """An attempt number that no other controller, and no other view, gives out."""
         self.counter += 1
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from sloeswitch.core import taskset
-from sloeswitch.core.quota import SLACK
+from sloeswitch.core.quota import SLACK, fits_type
 from sloeswitch.core.tables import Job
-from sloeswitch.wire import JobSpec
+from sloeswitch.wire import JobSpec, MachineType
+
+if TYPE_CHECKING:
+    from sloeswitch.core.yard import Attempt
 
 
 @dataclass
@@ -22,6 +27,8 @@
     gpus: float
     memory: float
     images: set[str] = field(default_factory=set)
+    # Whether some live job fits such machines and not others.
+    scarce: bool = False
 
     def count(self, spec: JobSpec) -> int:
         """How many tasks of the job fit."""
@@ -63,13 +70,37 @@
 
 
 def fitting(spec: JobSpec, rooms: list[Room]) -> list[Room]:
-    """Machines with room for the job, best first: those that have its image, so that it is not fetched
-    again, then spot machines and the fullest ones, so that the dear and the empty can be returned."""
+    """Machines with room for the job, best first: those that no other job needs more, those that have its image,
+    so that it is not fetched again, then spot machines and the fullest ones, so that the dear and the empty can be
+    returned."""
     found = [room for room in rooms if allowed(spec, room) and room.count(spec) > 0]
-    found.sort(key=lambda room: (spec.image not in room.images, not room.spot, room.cores))
+    found.sort(key=lambda room: (room.scarce, spec.image not in room.images, not room.spot, room.cores))
+    return found
+
+
+def scarce_types(specs: Iterable[JobSpec], types: dict[str, MachineType]) -> set[str]:
+    """Types that some of the jobs fit while they do not fit others: tasks that fit any machine go there last.
+    Guards against many small tasks in the room of the only machines that are large enough for another job."""
+    found: set[str] = set()
+    for spec in specs:
+        fitting_types = {kind.name for kind in types.values() if fits_type(spec, kind)}
+        if len(fitting_types) < len(types):
+            found |= fitting_types
     return found
 
 
+def victims(spec: JobSpec, room: Room, running: list[Attempt]) -> list[Attempt]:
+    """Which attempts have to stop, of those that may be, the youngest first, so that one task of the job fits."""
+    trial = Room(**vars(room))
+    chosen: list[Attempt] = []
+    for attempt in sorted(running, key=lambda attempt: -attempt.placed_at):
+        if trial.count(spec):
+            break
+        trial.take(attempt.spec, -1)
+        chosen.append(attempt)
+    return chosen if trial.count(spec) else []
+
+
 def place(job: Job, tasks: int, rooms: list[Room]) -> list[tuple[int, Room]]:
     """Puts tasks (a set) of the job on machines, taking their room. What does not fit stays out."""
     spec = job.spec
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,129 @@
+"""Room for tasks that fit few machine types: small tasks leave it, and lower priority stops for a gang of one."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import pytest
+
+from sloeswitch import wire
+from sloeswitch.actors import machines
+from sloeswitch.actors.jobs import Steal
+from sloeswitch.core import placement
+from sloeswitch.core import tables as t
+from sloeswitch.core.yard import Machine
+from sloeswitch.wire import MachineType
+from tests.conftest import MACHINE_TYPE, SETTINGS, Store, report, spec
+from tests.test_actors import World
+from tests.test_added_rules import later
+
+LARGE = MachineType("large", 32.0, 0.0, 64.0, 50.0, 0.5, 1.3, 0.4, 25.0, ["a", "b"])
+GANG: dict[str, Any] = {"shape": "group", "visits": 1, "cores": 30.0, "memoryGb": 51.0, "together": True}
+SOLVE, FILL, OTHER = "wk-000001", "wk-000002", "wk-000003"
+
+
+@pytest.fixture
+def world(store: Store, monkeypatch: pytest.MonkeyPatch) -> Iterator[World]:
+    """vm-1 is large and full of tasks of a job of the least priority."""
+    world = World(store, SETTINGS.replace("cpus_max = 20.0", "cpus_max = 100.0"))
+    monkeypatch.setattr(machines, "wall_ms", lambda: int((world.clock.time - 1000.0) * 1000))
+    store.put(t.CATALOG, msgspec.to_builtins(wire.Catalog([MACHINE_TYPE, LARGE])))
+    store.put(t.group_key("g"), {"m": {"vm-1": ["127.0.0.1:9000", "large", "a", False]}})
+    world.beat(large(1, 0))
+    world.beat(large(2, 3))
+    store.put(t.team_key("red"), {"c0.1": [100.0, 0.0]})
+    store.job(spec(FILL, visits=32, cores=1.0, memoryGb=0.1, urgency="best_effort"))
+    world.round(Steal(wants={FILL: 32}))
+    starts = world.beat(large(3, 3)).orders
+    world.beat(large(4, 3, *((order.task, order.attempt, "running") for order in starts)))
+    yield world
+
+
+def large(serial: int, token: int, *tasks: Any) -> wire.Report:
+    return msgspec.structs.replace(report(serial, token, *tasks), type="large", spot=False)
+
+
+def machine(world: World) -> Machine:
+    return world.machines.yard.machines["vm-1"]
+
+
+def tick(world: World, seconds: float) -> int:
+    """How many tasks on the machine are to stop after a tick; direct commands are not sent here."""
+    later(world, seconds)
+    world.machines._line_up()
+    world.machines.met = {job.spec.id: world.machines.met.get(job.spec.id, world.clock.time)
+                          for job in world.machines.line}  # fmt: skip
+    machine(world).heard = True
+    kill = world.machines.yard.kill
+    world.machines._kill = kill  # type: ignore[assignment,method-assign]
+    world.machines._make_room(world.clock.time)
+    return sum(attempt.kill_grace_s is not None for attempt in machine(world).attempts.values())
+
+
+def test_tasks_that_fit_any_type_go_last_where_another_job_must_go() -> None:
+    kinds = {kind.name: kind for kind in (MACHINE_TYPE, LARGE)}
+    assert placement.scarce_types([spec(SOLVE, **GANG), spec()], kinds) == {"large"}
+    assert placement.scarce_types([spec()], kinds) == set()
+    rooms = [
+        placement.Room("vm-1", "large", "a", True, 32.0, 0.0, 64.0, {"img-1"}, scarce=True),
+        placement.Room("vm-2", "small", "a", False, 8.0, 0.0, 16.0),
+    ]
+    assert [room.machine for room in placement.fitting(spec(), rooms)] == ["vm-2", "vm-1"]
+    assert [room.machine for room in placement.fitting(spec(SOLVE, **GANG), rooms)] == ["vm-1"]
+
+
+def test_lower_priority_stops_for_a_gang_of_one_and_its_room_is_held(world: World) -> None:
+    world.store.job(spec(SOLVE, **GANG))
+    assert tick(world, 0.1) == 0  # another controller may have room
+    assert tick(world, 2.5) == 30
+    assert tick(world, 0.5) == 30  # once is enough
+    left = [attempt for attempt in machine(world).attempts.values() if attempt.kill_grace_s is None]
+    running = ((attempt.name, attempt.number, "running") for attempt in left)
+    world.beat(large(5, 3, *running))
+    assert machine(world).use.cores == 2.0
+    # What comes back does not take the room again.
+    world.machines._place_waiting()
+    world.machines._fill(machine(world))
+    assert machine(world).use.cores == 2.0
+    world.round(Steal(wants={SOLVE: 1}, zones={SOLVE: "a"}))
+    assert machine(world).use.cores == 32.0 and world.machines.yard.placed[SOLVE] == 0b1
+
+
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_the_room_is_held_no_longer_than_needed_or_a_worker_lease(world: World, cancelled: bool) -> None:
+    world.store.job(spec(SOLVE, **GANG))
+    tick(world, 0.1)
+    assert tick(world, 2.5) == 30 and "vm-1" in world.machines.held
+    if cancelled:
+        world.store.job(spec(SOLVE, **GANG), t.WITHDRAWN)
+    tick(world, 0.1)
+    assert bool(world.machines.held) != cancelled
+    # The tasks do not stop, and no others may.
+    tick(world, world.settings.lease_s)
+    assert not world.machines.held
+
+
+@pytest.mark.parametrize("urgency", ["standard", "critical"])
+def test_equal_or_higher_priority_is_not_stopped(world: World, urgency: str) -> None:
+    for attempt in machine(world).attempts.values():
+        attempt.spec = msgspec.structs.replace(attempt.spec, priority=urgency)
+    world.store.job(spec(SOLVE, **GANG))
+    tick(world, 0.1)
+    assert tick(world, 5.0) == 0
+
+
+def test_what_stands_before_it_in_the_line_is_not_stopped(world: World) -> None:
+    """A job that waited too long goes by age: nothing starves for being stopped again and again."""
+    world.store.job(spec(SOLVE, **GANG))
+    tick(world, 0.1)
+    order = world.machines._line_up
+
+    def aged() -> None:
+        order()
+        world.machines.line.sort(key=lambda job: job.spec.id != FILL)
+
+    world.machines._line_up = aged  # type: ignore[method-assign]
+    assert FILL in [job.spec.id for job in world.machines.line]
+    assert tick(world, 5.0) == 0
