Tasks bound to zones are claimed with a zone, and those for which there is room

Also: which tasks of a spread job are claimed now follows from the room, not from their age, since the lower half has none outside its zone; and a gang's room is made once though it stands in the line twice. Tests: tests/test_meetings.py; each guard taken out failed one.

--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -42,6 +42,8 @@
     # Teams whose allowance is to be written even if it stays, so that an earlier write fails for certain.
     rewrite: set[str] = field(default_factory=set)
     zones: dict[str, str] = field(default_factory=dict)
+    # Of jobs whose tasks are bound to zones, which ones: those for which there is room.
+    picks: dict[str, int] = field(default_factory=dict)
     # What was taken, as sets of tasks by job: free until then, whether or not the write went through.
     gained: dict[str, int] = field(default_factory=dict)
 
@@ -426,6 +428,12 @@
         free = job.everything & ~progress.done & ~progress.claimed() & ~(note.released if note else 0)
         if spec.gang and want < free.bit_count():
             return False
+        if spec.bound and progress.zone is None and (steal is None or spec.id not in steal.zones or progress.claims):
+            # Guards against tasks claimed ahead of any room: without a stored zone they would go to any. Those that
+            # an earlier version claimed so are to be gone before there is one.
+            return False
+        if spec.bound and steal is not None:
+            free &= steal.picks.get(spec.id, 0)
         gained = taskset.lowest(free, want)
         if not gained:
             return False
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -817,6 +817,7 @@
             spec = job.spec
             if not (spec.gang and spec.tasks == 1 and job.unstarted) or spec.id in held_for:
                 continue
+            held_for.add(spec.id)  # it may stand in the line twice
             wait = 4 * self.pace_s + (0 if self._at_home(job) else (1 + turn) * self.settings.report_s)
             if now - self.met.get(spec.id, now) < wait or self.health.paused(spec.id, now):
                 continue
@@ -884,6 +885,7 @@
         rooms = self._rooms(now)
         wants: dict[str, int] = {}
         zones: dict[str, str] = {}
+        picks: dict[str, int] = {}
         # What each team could put to use on these machines: what runs, what waits, and what is open.
         useful = {team: self._use(team) for team in self.settings.teams}
         spare = {team.name: self._spare(team, useful[team.name]) for team in self.settings.teams.values()}
@@ -921,13 +923,17 @@
             if count == 0 or (spec.gang and count < spec.tasks):
                 continue
             usable = self._usable(name, rooms)
-            if (spec.one_zone or spec.spread) and job.progress.zone is None and usable:
-                zones[name] = max(usable, key=lambda room: room.count(spec)).zone
+            fitting = [room for room in usable if spec.bound and placement.allowed(spec, room) and room.count(spec)]
+            if spec.bound and job.progress.zone is None and name not in zones:
+                if not fitting:
+                    continue  # nothing is claimed before its zone can be chosen
+                zones[name] = max(fitting, key=lambda room: room.count(spec)).zone
             trial = [placement.Room(**vars(room)) for room in usable] if spec.gang else usable
             placed = []
             if trial:
-                tasks = taskset.lowest(open_tasks, max(0, count - waiting))
-                placed = placement.place(job, tasks | taskset.lowest(idle, count), trial)
+                # Where tasks are bound to zones it matters which ones: the oldest may have no room where others have.
+                tasks = open_tasks if spec.bound else taskset.lowest(open_tasks, max(0, count - waiting))
+                placed = placement.place(job, tasks | taskset.lowest(idle, count), trial, zones.get(name), count)
                 taken[name] = sum(1 << index for index, _ in placed)
                 rooms = self._roomy(rooms) if placed else rooms
             if spec.gang and len(placed) < spec.tasks:
@@ -936,12 +942,14 @@
             # Some tasks are claimed ahead, in the order of the line, so that a machine which reports a
             # completion gets the next task with the answer instead of after a write.
             ahead = 0
-            if not spec.gang:
+            if not (spec.gang or spec.bound):
                 ahead = min(count - len(placed), int(ahead_cores // max(spec.cores, quota.SLACK)))
                 ahead_cores -= ahead * spec.cores
             want = min(open_tasks.bit_count(), max(0, len(placed) + ahead - waiting))
             if want and (len(placed) > waiting or 2 * waiting < ahead) and len(wants) < most_wants:
                 wants[name] = wants.get(name, 0) + want
+                if spec.bound:
+                    picks[name] = picks.get(name, 0) | sum(1 << index for index, _ in placed) & open_tasks
         grow: dict[str, tuple[float, float]] = {}
         shrink: dict[str, tuple[int, float, float]] = {}
         # Some changes of a round are left for claims.
@@ -978,7 +986,7 @@
             self.stealing = True
             assert self.group is not None
             self.group.start_soon(
-                self._ask_for, Steal(wants=wants, zones=zones, grow=grow, shrink=shrink, rewrite=rewrite)
+                self._ask_for, Steal(wants=wants, zones=zones, picks=picks, grow=grow, shrink=shrink, rewrite=rewrite)
             )
 
     def _at_home(self, job: Job) -> bool:
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -9,7 +9,7 @@
 from sloeswitch.core import taskset
 from sloeswitch.core.quota import SLACK, fits_type
 from sloeswitch.core.tables import Job
-from sloeswitch.wire import JobSpec, MachineType
+from sloeswitch.wire import MAX_TASKS, JobSpec, MachineType
 
 if TYPE_CHECKING:
     from sloeswitch.core.yard import Attempt
@@ -56,17 +56,13 @@
     )
 
 
-def zone_allows(job: Job, index: int, zone: str) -> bool:
-    """The zone rules of a job's tasks against each other. `together`: all in the job's stored zone.
-    `spread`: the lower half of the tasks, rounded up, in the stored zone, the others anywhere else;
+def zone_allows(spec: JobSpec, index: int, zone: str, home: str | None) -> bool:
+    """The zone rules of a job's tasks against each other, by the job's stored zone; nowhere before there is one.
+    `together`: all in that zone. `spread`: the lower half of the tasks, rounded up, in it, the others anywhere else;
     fixed by task number, so that controllers need not count each other's tasks."""
-    spec = job.spec
     if spec.one_zone:
-        return job.progress.zone in (None, zone)
-    if spec.spread:
-        home = job.progress.zone
-        return home is None or (zone == home) == (index < (spec.tasks + 1) // 2)
-    return True
+        return zone == home
+    return home is not None and (zone == home) == (index < (spec.tasks + 1) // 2)
 
 
 def fitting(spec: JobSpec, rooms: list[Room]) -> list[Room]:
@@ -101,19 +97,24 @@
     return chosen if trial.count(spec) else []
 
 
-def place(job: Job, tasks: int, rooms: list[Room]) -> list[tuple[int, Room]]:
-    """Puts tasks (a set) of the job on machines, taking their room. What does not fit stays out."""
+def place(
+    job: Job, tasks: int, rooms: list[Room], zone: str | None = None, most: int = MAX_TASKS
+) -> list[tuple[int, Room]]:
+    """Puts tasks (a set) of the job on machines, taking their room. What does not fit stays out. `zone`: what would
+    be stored as the job's zone, if none is yet. `most`: how many tasks at most."""
     spec = job.spec
+    home = job.progress.zone or zone
     placed: list[tuple[int, Room]] = []
-    bound = spec.one_zone or spec.spread
     for room in fitting(spec, rooms):
         if not tasks:
             break
         count = room.count(spec)
         choice = tasks
-        if bound:
-            choice = sum(1 << index for index in taskset.members(tasks) if zone_allows(job, index, room.zone))
-        chosen = taskset.lowest(choice, count)
+        if spec.bound:
+            choice = sum(
+                1 << index for index in taskset.members(tasks) if zone_allows(spec, index, room.zone, home)
+            )  # fmt: skip
+        chosen = taskset.lowest(choice, min(count, most - len(placed)))
         if chosen:
             room.take(spec, chosen.bit_count())
             placed += [(index, room) for index in taskset.members(chosen)]
--- a/sloeswitch/wire.py
+++ b/sloeswitch/wire.py
@@ -65,6 +65,11 @@
     def gang(self) -> bool:
         return self.shape == GANG
 
+    @property
+    def bound(self) -> bool:
+        """Whether the zones of its tasks depend on each other."""
+        return self.one_zone or self.spread
+
 
 class ReportedTask(Struct, rename={"task": "visit", "attempt": "try", "state": "status"}):
     task: str
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -13,6 +13,7 @@
 from sloeswitch.actors.fleet import Fleet
 from sloeswitch.actors.jobs import Learnt, Steal
 from sloeswitch.actors.machines import OVERDUE
+from sloeswitch.core import placement
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellations
 from sloeswitch.core.yard import Machine
@@ -242,7 +243,7 @@
 def test_a_job_is_bound_to_a_zone_only_while_one_of_its_tasks_is_somewhere(world: World, bound: Any) -> None:
     """Jobs bound to a zone, arrays too, lose all machines there."""
     world.store.job(spec(**bound))
-    world.round(Steal(wants={JOB: 4}, zones={JOB: "b"}, grow={"red": (8.0, 0.0)}))
+    world.round(Steal(wants={JOB: 4}, zones={JOB: "b"}, picks={JOB: 0b1111}, grow={"red": (8.0, 0.0)}))
     job = world.store.tables.jobs[JOB]
     assert job.progress.zone == "b" and job.progress.claims
     world.tell_jobs(Learnt(released={JOB: 0b0111}))
@@ -253,7 +254,7 @@
     later(world, 20.0)
     world.round()
     assert job.progress.zone is None and not job.progress.claims
-    world.round(Steal(wants={JOB: 4}, zones={JOB: "a"}))
+    world.round(Steal(wants={JOB: 4}, zones={JOB: "a"}, picks={JOB: 0b1111}))
     assert job.progress.zone == "a"
 
 
@@ -292,3 +293,67 @@
     for changes in ({"visits": 7}, {"cores": 99.0}, {"crew": "nobody"}, {"kit": ...}, {"urgency": 5}):
         assert submit(world, JOB, **changes) == 200
     assert world.store.tables.jobs[JOB].spec.tasks == 4
+
+
+@pytest.mark.parametrize("bound", [{"together": True}, {"spread": True}])
+def test_a_bound_job_is_claimed_only_with_a_zone_and_placed_by_it(world: World, bound: Any) -> None:
+    """Failure found on the bench: claimed ahead while no machine had room, a job had no zone, and its tasks went to
+    any."""
+    world.store.job(spec(**bound))
+    world.store.put(t.team_key("red"), {"c0.1": [20.0, 0.0]})
+    machine(world).draining = True
+    world.machines._cores_ahead = lambda: 20.0  # type: ignore[method-assign]
+    world.machines._line_up()
+    assert all(not asked.wants for asked in world.steal())
+    world.round(Steal(wants={JOB: 4}))
+    assert not world.store.tables.jobs[JOB].progress.claims
+    machine(world).draining = False
+    (asked,) = world.steal()
+    # All that the rules allow here, and nothing that would have no room.
+    allowed = 0b0011 if "spread" in bound else 0b1111
+    assert asked.zones == {JOB: "a"} and asked.picks == {JOB: allowed}
+    world.round(asked)
+    assert world.store.tables.jobs[JOB].progress.claims == {"c0.1": allowed}
+    assert world.machines.yard.placed[JOB] == allowed
+
+
+def test_tasks_for_other_zones_are_claimed_where_there_is_room_for_them(world: World) -> None:
+    """Room in another zone than the stored one is for the upper half of a job that is spread."""
+    world.store.job(spec(spread=True))
+    world.store.put(t.team_key("red"), {"c0.1": [20.0, 0.0]})
+    world.store.put(t.progress_key(JOB), {"d": [], "c": {"c1.9": [0, 1]}, "z": "b"})
+    world.machines._line_up()
+    (asked,) = world.steal()
+    assert asked.picks == {JOB: 0b1100}
+    world.round(asked)
+    assert world.machines.yard.placed[JOB] == 0b1100
+
+
+def test_no_zone_is_chosen_while_tasks_without_one_are_somewhere(world: World) -> None:
+    """As an earlier version may have left them."""
+    world.store.job(spec(together=True))
+    world.store.put(t.progress_key(JOB), {"d": [], "c": {"c0.1": [0, 1]}})
+    world.round(Steal(wants={JOB: 3}, zones={JOB: "a"}, picks={JOB: 0b1110}, grow={"red": (8.0, 0.0)}))
+    assert world.store.tables.jobs[JOB].progress.claims == {"c0.1": 0b1}
+
+
+def test_with_room_in_the_limit_for_one_task_it_is_one_that_has_room(world: World) -> None:
+    world.store.job(spec(spread=True))
+    world.store.put(t.team_key("red"), {"c0.1": [2.0, 0.0]})
+    world.store.put(t.progress_key(JOB), {"d": [], "c": {"c1.9": [0, 1]}, "z": "b"})
+    world.machines._spare = lambda team, use: (2.0, 0.0)  # type: ignore[method-assign]
+    world.machines._line_up()
+    (asked,) = world.steal()
+    assert asked.picks == {JOB: 0b0100}
+
+
+def test_bound_tasks_take_no_more_room_than_asked_and_none_without_a_zone(world: World) -> None:
+    world.store.job(spec(together=True))
+    job = world.store.tables.jobs[JOB]
+    rooms = [placement.Room("vm-1", "small", "a", True, 8.0, 0.0, 16.0)]
+    assert placement.place(job, 0b1111, rooms) == []
+    assert [index for index, _ in placement.place(job, 0b1111, rooms, "a", 1)] == [0]
+    assert rooms[0].cores == 6.0
+    assert placement.place(job, 0b1110, rooms, "b") == []
+    world.store.job(spec("wk-000002", spread=True))
+    assert placement.place(world.store.tables.jobs["wk-000002"], 0b1111, rooms) == []
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -87,7 +87,7 @@
     world.machines._place_waiting()
     world.machines._fill(machine(world))
     assert machine(world).use.cores == 2.0
-    world.round(Steal(wants={SOLVE: 1}, zones={SOLVE: "a"}))
+    world.round(Steal(wants={SOLVE: 1}, zones={SOLVE: "a"}, picks={SOLVE: 0b1}))
     assert machine(world).use.cores == 32.0 and world.machines.yard.placed[SOLVE] == 0b1
 
 
