--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,428 @@
+"""Several controllers from the real core and actors in a scripted world: a state service that loses answers and carries
+writes out late, workers with leases, messages that are lost or late, controllers that end, come back, or are refused by
+the state service. After each step the rules of the protocol are checked."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import pytest
+
+from sloeswitch import wire
+from sloeswitch.actors import machines as machines_module
+from sloeswitch.actors.jobs import Jobs, Learnt, Steal
+from sloeswitch.actors.machines import Beat, Machines
+from sloeswitch.actors.membership import Membership, Settled, Standing
+from sloeswitch.core import tables as t
+from sloeswitch.core.cancellations import Cancellations
+from sloeswitch.mesh import HEADER, Answer, Mesh, pack_inquire
+from sloeswitch.settings import parse
+from sloeswitch.state import Outcome, Replica, StateClient
+from tests.conftest import SETTINGS, Store, spec
+from tests.test_actors import Clock
+
+MEMBERS = ("c0", "c1")
+LIMIT = 20.0
+
+
+class World:
+    """Time, what is stored, the workers, and the rules."""
+
+    def __init__(self, seed: int) -> None:
+        self.finished: set[str] = set()
+        self.sizes: dict[str, int] = {}
+        self.starts = 0
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.store = Store()
+        self.store.types()
+        self.store.upgraded()
+        self.log: list[tuple[str, Any, int]] = [(key, *row) for key, row in self.store.rows.items()]
+        put = self.store.put
+
+        def logged(key: str, value: Any) -> int:
+            epoch = put(key, value)
+            self.log.append((key, value, epoch))
+            return epoch
+
+        self.store.put = logged  # type: ignore[method-assign]
+        self.outage = False
+        self.late: list[tuple[float, Callable[[], object]]] = []
+        self.boots = 0
+        self.nodes: dict[str, Node] = {name: Node(self, name) for name in MEMBERS}
+        self.leases: dict[tuple[str, int], float] = {}
+        self.workers = [Worker(self, f"vm-{number}") for number in range(4)]
+        self.told: dict[str, float] = {}
+        self.done: set[str] = set()
+        self.answered = Counter[str]()
+
+    def coordinate(self) -> None:
+        """What the coordinator does: a view of those whose lease lives, however that ended."""
+        if self.outage:
+            # After an outage every lease has its full time again.
+            self.leases = {key: self.clock.time for key in self.leases}
+            return
+        span = self.nodes["c0"].settings.controller_lease_s
+        for (name, boot), at in list(self.leases.items()):
+            if self.clock.time > at + span:
+                del self.leases[name, boot]
+                row = self.store.tables.members.get(name)
+                if row is not None and row.boot == boot:
+                    self.store.put(t.member_key(name), None)
+        members = tuple(sorted((name, row.boot) for name, row in self.store.tables.members.items()))
+        if members and members != self.store.tables.view.members:
+            self.store.view(self.store.tables.view.number + 1, *members)
+
+    def present(self) -> list[tuple[str, str]]:
+        return [(task, w.name) for w in self.workers for (task, _), (state, _) in w.tasks.items() if state != "ended"]
+
+    def check_start(self, worker: Worker, task: str) -> None:
+        self.starts += 1
+        assert task not in [there for there, _ in self.present()], f"ran_twice: {task}"
+        assert 2.0 * (len(self.present()) + 1) <= LIMIT, "quota"
+        job = task.partition("/")[0]
+        if job in self.told:
+            assert self.clock.time <= self.told[job] + 30.0, f"ran_cancelled: {task}"
+
+    def check(self) -> None:
+        for task, machine in self.present():
+            job = task.partition("/")[0]
+            assert job not in self.told or self.clock.time <= self.told[job] + 30.0, f"ran_cancelled: {task} {machine}"
+        for node in self.nodes.values():
+            for name, size in self.sizes.items():
+                status = node.jobs.status(name)
+                if status == wire.DONE:
+                    assert sum(task.startswith(name + "/") for task in self.finished) == size, f"not_done: {name}"
+                    assert name not in self.told, f"went_back: {name}"
+                    self.done.add(name)
+                assert not (name in self.done and status == wire.CANCELLED), f"went_back: {name}"
+
+
+class Client(StateClient):
+    """Transactions against what is stored. Some answers are lost, and some of these are carried out late."""
+
+    node: Node
+
+    async def pay(self, changes: int, urgency: Any) -> None:
+        return None
+
+    async def commit(
+        self, conditions: dict[str, int], writes: dict[str, Any], drops: list[str], urgency: Any,
+        lease: dict[str, int] | None = None, paid: int = 0,
+    ) -> tuple[Outcome, int]:  # fmt: skip
+        world = self.node.world
+        if not self.node.reaches:
+            return Outcome.REFUSED, 0
+
+        def carry_out() -> tuple[Outcome, int]:
+            stored = world.store.tables
+            if any(stored.stamp(key) != stamp for key, stamp in conditions.items()):
+                return Outcome.CONFLICT, world.store.epoch
+            # One transaction, one revision.
+            world.store.epoch += 1
+            for key, value in [*writes.items(), *((key, None) for key in drops)]:
+                world.store.epoch -= 1
+                world.store.put(key, value)
+            return Outcome.DONE, world.store.epoch
+
+        luck = world.rng.random()
+        if luck < 0.04:
+            world.late.append((world.clock.time + 10 * world.rng.random(), carry_out))
+            return Outcome.UNKNOWN, 0
+        outcome = carry_out()
+        return (Outcome.UNKNOWN, 0) if luck < 0.08 else outcome
+
+
+class Reading(Replica):
+    """Reads what is stored, in order, while the state service can be reached."""
+
+    node: Node
+
+    async def fresh(self, timeout_s: float) -> None:
+        self.node.read()
+
+
+class Group:
+    """Registrations are stored at once; direct commands do not arrive."""
+
+    def __init__(self) -> None:
+        self.pending: list[tuple[Any, tuple[Any, ...]]] = []
+
+    def start_soon(self, call: Any, *args: Any) -> None:
+        if call.__name__ == "_store_machines":
+            self.pending.append((call, args))
+
+
+class Node:
+    """One process of a controller."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        other = next(member for member in MEMBERS if member != name)
+        text = SETTINGS.replace('member = "c1"', f'member = "{other}"').replace(
+            'member = "c0"', f'member = "{name}"', 1
+        )
+        self.settings = parse(text)
+        clock = world.clock
+        self.refused = False
+        self.place = 0
+        self.tables = t.Tables(Cancellations(50, world.rng.getrandbits(40) + 1))
+        self.client = Client(self.settings, lambda: 2, clock)
+        self.client.node = self
+        self.replica = Reading(self.client, self.tables, clock)
+        self.replica.node = self
+        self.standing = Standing(self.settings, self.tables, self.replica, clock)
+        self.mesh = Mesh(
+            self.settings.siblings, 1.0, clock, self.standing.known, self.tables.cancellations, self.standing.learn
+        )  # fmt: skip
+        self.standing.mesh = self.mesh
+        self.membership = Membership(self.settings, self.client, self.replica, self.standing)
+        self.jobs = Jobs(self.settings, self.client, self.replica, self.standing, clock)
+        self.machines = Machines(
+            self.settings, self.client, self.replica, self.standing, self.jobs, self.membership, clock
+        )
+        self.machines.pace_s = 0.0
+        self.group = Group()
+        self.machines.group = self.group  # type: ignore[assignment]
+        self.asked: list[Steal] = []
+
+        async def ask_for(steal: Steal) -> None:
+            raise AssertionError("taken from the group")
+
+        self.machines._ask_for = ask_for  # type: ignore[method-assign]
+
+    @property
+    def reaches(self) -> bool:
+        return not self.refused and not self.world.outage
+
+    def read(self) -> None:
+        """All changes since the last reading, sent now and answered at once; and the lease is renewed."""
+        if not self.reaches:
+            return
+        while self.place < len(self.world.log):
+            key, value, stamp = self.world.log[self.place]
+            self.tables.apply(key, value, stamp)
+            self.place += 1
+        self.replica.applied = self.world.store.epoch
+        self.replica.loaded = self.replica.whole = True
+        self.replica.fresh_at = self.world.clock.time
+
+    def renew(self) -> None:
+        if not self.reaches:
+            return
+        name, now = self.settings.member, self.world.clock.time
+        if not self.standing.boot or (name, self.standing.boot) not in self.world.leases:
+            self.world.boots += 1
+            self.standing.boot = self.world.boots
+            self.membership.settled = 0
+            self.world.store.member(name, self.standing.boot)
+        self.world.leases[name, self.standing.boot] = now
+        self.standing.renewed_at = now
+        self.read()
+        anyio.run(self.membership._write_member)
+
+    def tick(self) -> None:
+        """A look round, a round of storing, and what was asked for."""
+        group = self.group
+        start_soon = group.start_soon
+        asked: list[Steal] = []
+
+        def take(call: Any, *args: Any) -> None:
+            if call is self.machines._ask_for:
+                asked.append(args[0])
+            else:
+                start_soon(call, *args)
+
+        group.start_soon = take  # type: ignore[method-assign]
+        self.machines._tick()
+        group.start_soon = start_soon  # type: ignore[method-assign]
+
+        async def follow() -> None:
+            for call, args in group.pending:
+                await call(*args)
+            group.pending.clear()
+            while self.membership._inbox:
+                message = self.membership._inbox.popleft()
+                assert isinstance(message, Settled)
+                await self.membership.handle(message)
+            while self.jobs._inbox:
+                message = self.jobs._inbox.popleft()
+                assert isinstance(message, Learnt)
+                await self.jobs.handle(message)
+            for steal in asked:
+                await self.jobs.handle(steal)
+                await self.jobs._round()
+                for name, tasks in steal.gained.items():
+                    if name in self.machines.releasing:
+                        self.machines.releasing[name] &= ~tasks
+            if not asked:
+                await self.jobs._round()
+
+        anyio.run(follow)
+        self.machines.stealing = False
+
+
+class Worker:
+    """A worker as the protocol tells it, of eight cores; images are there."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.target = MEMBERS[0]
+        self.session, self.serial, self.token = 1, 0, 0
+        self.tasks: dict[tuple[str, int], tuple[str, str | None]] = {}
+        self.finished: set[str] = set()
+        self.renewed_at = world.clock.time
+        self.flight: list[tuple[float, float, int, bytes]] = []
+        self.heard_answer = False
+        self.copies: list[wire.Report] = []
+
+    def expire(self) -> None:
+        if self.world.clock.time - self.renewed_at > 10.0:
+            self.tasks.clear()
+            self.session += 1
+            self.renewed_at = self.world.clock.time
+
+    def report(self) -> wire.Report:
+        self.serial += 1
+        items = [wire.ReportedTask(task, number, state, cause) for (task, number), (state, cause) in self.tasks.items()]
+        return wire.Report(
+            self.name, "127.0.0.1:9000", "small", "a", True, self.session, self.serial, self.token, items
+        )  # fmt: skip
+
+    def beat(self) -> None:
+        """A report to the controller of which the worker thinks, or to the next one; the answer may be late or lost."""
+        world, rng, sent = self.world, self.world.rng, self.world.clock.time
+        if any(sent - earlier <= 4.0 for _, earlier, _, _ in self.flight):
+            return  # one report in flight at a time; an answer is waited for so long
+        self.flight.clear()
+        report = self.report()
+        if rng.random() < 0.1:
+            self.copies.append(report)
+        if self.copies and rng.random() < 0.1:
+            copy = self.copies.pop(rng.randrange(len(self.copies)))
+            message = Beat(report=copy, received=False)
+            anyio.run(world.nodes[rng.choice(MEMBERS)].machines.handle, message)
+        if rng.random() < 0.05:
+            return  # never arrives
+        message = Beat(report=report, received=self.heard_answer)
+        anyio.run(world.nodes[self.target].machines.handle, message)
+        answer, self.heard_answer = message.answer, False
+        world.answered[str(answer.status)] += 1
+        if answer.status == 421:
+            to = wire.decode(answer.body, dict[str, Any]).get("foreman")
+            self.target = to or rng.choice(MEMBERS)
+        elif answer.status != 200:
+            self.target = rng.choice(MEMBERS)
+        elif rng.random() > 0.05:
+            delay = 0.0 if rng.random() < 0.8 else 5 * rng.random()
+            self.flight.append((world.clock.time + delay, sent, self.session, answer.body))
+
+    def receive(self) -> None:
+        now = self.world.clock.time
+        for at, sent, session, body in [item for item in self.flight if item[0] <= now]:
+            self.flight.remove((at, sent, session, body))
+            orders = wire.decode(body, wire.Orders)
+            if now - sent > 4.0 or session != self.session or orders.token < self.token:
+                continue
+            self.token = orders.token
+            self.renewed_at = max(self.renewed_at, sent)
+            self.heard_answer = True
+            for order in orders.orders:
+                self.carry_out(order)
+
+    def carry_out(self, order: wire.Order) -> None:
+        key = (order.task, order.attempt)
+        if order.verb == "start" and key not in self.tasks:
+            live = [task for (task, _), (state, _) in self.tasks.items() if state != "ended"]
+            if order.task in live:
+                self.tasks[key] = ("ended", "busy")
+            elif len(live) >= 4:
+                self.tasks[key] = ("ended", "no_room")
+            else:
+                self.world.check_start(self, order.task)
+                self.tasks[key] = ("running", None)
+        elif order.verb == "kill" and self.tasks.get(key, ("ended", None))[0] != "ended":
+            self.tasks[key] = ("ended", "halted")
+        elif order.verb == "clear":
+            self.tasks.pop(key, None)
+
+    def work(self) -> None:
+        for key, (state, _cause) in list(self.tasks.items()):
+            if state == "running" and self.world.rng.random() < 0.06:
+                self.tasks[key] = ("ended", "done")
+                self.world.finished.add(key[0])
+
+
+def play(seed: int, steps: int) -> World:
+    world = World(seed)
+    rng = world.rng
+    for node in world.nodes.values():
+        node.read()
+        node.renew()
+    world.coordinate()
+    number = 0
+    for _ in range(steps):
+        world.clock.time += 0.3 * rng.random()
+        for item in [item for item in world.late if item[0] <= world.clock.time]:
+            world.late.remove(item)
+            item[1]()
+        luck = rng.random()
+        name = rng.choice(MEMBERS)
+        node = world.nodes[name]
+        if luck < 0.01:
+            world.outage = not world.outage
+        elif luck < 0.03:
+            node.refused = not node.refused
+        elif luck < 0.037:
+            world.nodes[name] = Node(world, name)  # a new process; the former lease ends by itself
+        elif luck < 0.1 and len(world.sizes) < 40:
+            number += 1
+            job = spec(f"wk-{number:06d}", visits=rng.randint(1, 5))
+            if node.replica.loaded and anyio.run(node.jobs.submit, job) is not None:
+                world.sizes[job.id] = job.tasks
+        elif luck < 0.14 and world.sizes:
+            job_name = rng.choice(list(world.sizes))
+            if node.replica.loaded and anyio.run(node.jobs.cancel, job_name) == wire.CANCELLED:
+                world.told.setdefault(job_name, world.clock.time)
+        elif luck < 0.3:
+            other = world.nodes[next(member for member in MEMBERS if member != name)]
+            peer = node.mesh.peers[other.settings.member]
+            question = pack_inquire(1, node.replica.applied, peer.log, peer.place)[HEADER.size :]
+            answer = Answer.unpack(other.mesh.answer(question).pack()[HEADER.size :])
+            node.mesh.heard(peer, world.clock.time, answer)
+        for each in world.nodes.values():
+            if rng.random() < 0.4:
+                each.renew()
+            if rng.random() < 0.5:
+                each.tick()
+        world.coordinate()
+        for worker in world.workers:
+            worker.expire()
+            worker.receive()
+            worker.work()
+            if rng.random() < 0.35:
+                worker.beat()
+            worker.receive()
+        world.check()
+    return world
+
+
+@pytest.mark.parametrize("seed", [1, 4, 5, 7])
+def test_no_rule_breaks_in_a_random_world(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    clocks: list[Clock] = []
+    make = Clock.__init__
+
+    def made(clock: Clock) -> None:
+        make(clock)
+        clocks.append(clock)
+
+    monkeypatch.setattr(Clock, "__init__", made)
+    monkeypatch.setattr(machines_module, "wall_ms", lambda: int(clocks[-1].time * 1000))
+    world = play(seed, 400)
+    # The world is one in which something happens.
+    assert world.starts > 20 and world.done and world.told and world.answered["421"] and world.answered["503"]
