Replacements are not rented first in a zone that looks cut off

Change: zones of which three quarters of the machines fell silent together come last, whatever the price, for six worker leases. Ruled out: refusals of the cloud (none in those seconds).

--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -21,6 +21,7 @@
 from sloeswitch.core import tables as t
 from sloeswitch.core.fleet import Kind
 from sloeswitch.core.tables import Tables
+from sloeswitch.core.zones import ZoneWatch
 from sloeswitch.settings import Settings
 from sloeswitch.state import Outcome, Replica, StateClient, Urgency
 
@@ -29,6 +30,9 @@
 
 log = logging.getLogger("fleet")
 
+# A zone that looked cut off is rented in last for so many worker leases.
+CUT_REMEMBERED_LEASES = 6.0
+
 
 @dataclass
 class Expected:
@@ -63,6 +67,7 @@
         self.listed_at = float("-inf")
         self.catalog_at = float("-inf")
         self.idle_since: dict[str, float] = {}
+        self.zones = ZoneWatch(settings.late_s, CUT_REMEMBERED_LEASES * settings.lease_s)
 
     # -- returning
 
@@ -220,7 +225,7 @@
             supply[item.kind] = supply.get(item.kind, 0) + 1
         refused = {kind for kind, until in self.refused.items() if now < until}
         wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000), plan.SPREAD_RENT)
-        choice = plan.rent(wanted, supply, self.types, refused, 50)
+        choice = plan.rent(wanted, supply, self.types, refused, 50, self.zones.cut(now))
         if choice is None:
             return False
         self.bookings += 1
@@ -266,6 +271,7 @@
         if self.machines is None or not self.standing.may_act:
             return
         now = self.now()
+        self.zones.observe(self.machines.yard.machines.values(), now)
         self._spare_dear()
         settled = self.tables.all_settled()
         backlog = self.machines.startable([
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -343,7 +343,7 @@
     def _tick(self) -> None:
         standing = self.standing
         now = self.now()
-        if not standing.may_answer or now - self.ticked_at > 2.2 * self.settings.report_s:
+        if not standing.may_answer or now - self.ticked_at > self.settings.late_s:
             self.answering_since = now
         self.ticked_at = now
         if not standing.included:
@@ -426,14 +426,14 @@
             lost = self.yard.lease_over(machine)
             log.info("%s is silent and its lease is over: %d tasks come back", machine.name, len(lost))
         silent = now - max(machine.heard_at, machine.answered_at, machine.gone_at - self.settings.takeover_gone_s)
-        if (machine.heard and silent > 2.2 * self.settings.report_s) or not machine.known:
+        if (machine.heard and silent > self.settings.late_s) or not machine.known:
             self._probe(machine, now)
         mute_s = deaf_s = 0.0
         if machine.reported_at is not None:
             mute_s = now - max(machine.reported_at, self.answering_since)
         if machine.heard:
             deaf_s = now - max(machine.reached_at, self.answering_since)
-        unreached = max(silent, mute_s) > 2.2 * self.settings.report_s or not machine.reached
+        unreached = max(silent, mute_s) > self.settings.late_s or not machine.reached
         if unreached and self.yard.withdraw_unsent(machine):
             self.wake.set()
         if (
@@ -486,8 +486,7 @@
         """Most machines silent or unreached at once points to our own network; then their leases must do."""
         heard = [machine for machine in self.yard.machines.values() if machine.heard]
         late = sum(
-            now - min(machine.heard_at, machine.reported_at or 0.0) > 2.2 * self.settings.report_s
-            or not machine.reached
+            now - min(machine.heard_at, machine.reported_at or 0.0) > self.settings.late_s or not machine.reached
             for machine in heard
         )
         return len(heard) > 3 and late > 0.75 * len(heard)
@@ -689,7 +688,7 @@
             # A machine that misses its reports gets nothing new. Guards against one that answers commands and cannot
             # report: it was given work again and again, which was taken back when no report came to be answered.
             or machine.reported_at is None
-            or now - machine.reported_at >= 2.2 * self.settings.report_s
+            or now - machine.reported_at >= self.settings.late_s
             or machine.name not in self.tables.machines
             or self.health.machine_faulty(machine.name)
         ):
--- a/sloeswitch/settings.py
+++ b/sloeswitch/settings.py
@@ -97,6 +97,11 @@
         that a crashed controller's machines are taken over while their tasks still live."""
         return max(0.1, 0.3 * self.lease_s)
 
+    @property
+    def late_s(self) -> float:
+        """A machine that was not heard for so long has missed a report, the spread of their interval allowed for."""
+        return 2.2 * self.report_s
+
     @property
     def worker_gone_s(self) -> float:
         """After this long without an answer a worker has certainly dropped its tasks."""
