--- a/sloeswitch/actors/base.py
+++ b/sloeswitch/actors/base.py
@@ -13,7 +13,7 @@
 BATCH = 16
 
 
-class Busy(Exception):
+class InboxFullError(Exception):
     """The actor's inbox is full."""
 
 
@@ -42,9 +42,9 @@
         self._filled = anyio.Event()
 
     def tell(self, message: Any) -> None:
-        """Leaves a message; Busy when there is no place for it."""
+        """Leaves a message; InboxFullError when there is no place for it."""
         if len(self._inbox) >= self.most:
-            raise Busy(self.name)
+            raise InboxFullError(self.name)
         self._inbox.append(message)
         self._filled.set()
 
--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -16,7 +16,7 @@
 
 from sloeswitch import wire
 from sloeswitch.actors.membership import Standing
-from sloeswitch.cloud import CloudClient, CloudTrouble
+from sloeswitch.cloud import CloudClient, CloudError
 from sloeswitch.core import fleet as plan
 from sloeswitch.core import tables as t
 from sloeswitch.core.fleet import Kind
@@ -115,7 +115,7 @@
                 continue
             try:
                 await self.cloud.delete(batch)
-            except CloudTrouble as error:
+            except CloudError as error:
                 log.info("deleting %s: %s", ", ".join(batch), error)
                 await anyio.sleep(self.settings.report_s)
                 continue
@@ -144,7 +144,7 @@
                         pass
                 elif self.expected:
                     self.expected.clear()
-            except CloudTrouble as error:
+            except CloudError as error:
                 log.info("cloud: %s", error)
                 await anyio.sleep(self.settings.list_lag_s / 5)
             except Exception:
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -25,7 +25,7 @@
 from sloeswitch.core import tables as t
 from sloeswitch.core.tables import DONE, LIVE, WITHDRAWN, Job, Progress, Tables
 from sloeswitch.settings import Settings
-from sloeswitch.state import Outcome, Replica, Stale, StateClient, Urgency
+from sloeswitch.state import Outcome, Replica, StaleError, StateClient, Urgency
 
 log = logging.getLogger("jobs")
 
@@ -191,7 +191,7 @@
         if steal is not None and acting:
             try:
                 await self.replica.fresh(self.client.timeout_s)
-            except Stale:
+            except StaleError:
                 acting = False
         self._tidy()
         acting = acting and self.standing.may_act
@@ -277,7 +277,7 @@
             self.replica.stored(epoch, writes)
         else:
             log.debug("stored nothing of %d values: %s", len(conditions), outcome.value)
-            with contextlib.suppress(Stale):
+            with contextlib.suppress(StaleError):
                 await self.replica.fresh(self.client.timeout_s)
         self._tidy()
         if steal is not None:
@@ -515,7 +515,7 @@
         # Somebody stored it before us, or the answer was lost: read what is there.
         try:
             await self.replica.fresh(self.client.timeout_s)
-        except Stale:
+        except StaleError:
             return None
         status = self.status(spec.id)
         return None if status is None else (status, False)
@@ -543,7 +543,7 @@
                 return None
         try:
             await self.replica.fresh(self.client.timeout_s)
-        except Stale:
+        except StaleError:
             return None
         stored = self.tables.parts.get(spec.id, {}).get(attempt, {})
         return (attempt, len(texts), self.tables.stamp(keys[0])) if len(stored) == len(texts) else None
@@ -604,7 +604,7 @@
             if job is None:
                 try:
                     await self.replica.fresh(self.client.timeout_s)
-                except Stale:
+                except StaleError:
                     return None
                 if self.status(name) is None:
                     return ""
@@ -629,7 +629,7 @@
                 return None
             try:
                 await self.replica.fresh(self.client.timeout_s)
-            except Stale:
+            except StaleError:
                 return None
         return None
 
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -18,7 +18,7 @@
 
 from sloeswitch import wire
 from sloeswitch.actors import fleet
-from sloeswitch.actors.base import Actor, Ask, Busy
+from sloeswitch.actors.base import Actor, Ask, InboxFullError
 from sloeswitch.actors.claim_planner import ClaimPlanner
 from sloeswitch.actors.jobs import Jobs, Learnt, Steal, note_task
 from sloeswitch.actors.membership import Membership, Settled, Standing
@@ -30,7 +30,7 @@
 from sloeswitch.core.quota import fits_type
 from sloeswitch.core.tables import LIVE, Job, Tables
 from sloeswitch.core.yard import FETCHING, RUNNING, Attempt, Heard, Machine, Yard
-from sloeswitch.http import Answer, Client, NoAnswer, refuse
+from sloeswitch.http import Answer, Client, NoAnswerError, refuse
 from sloeswitch.settings import Address, Settings, Team
 from sloeswitch.state import Replica, StateClient, Urgency
 
@@ -166,7 +166,7 @@
                 await self.wake.wait()
             self.wake = anyio.Event()
             started = self.now()
-            with contextlib.suppress(Busy):
+            with contextlib.suppress(InboxFullError):
                 await self.ask(Tick())
             # Under load the reports come first: a tick takes at most a quarter of the time, but leases and
             # silent machines are looked after at least about as often as reports come.
@@ -242,7 +242,7 @@
         was_heard = machine.heard
         try:
             heard = self.yard.hear(machine, report, True, now, standing.view.number, self.tables)
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             self._complain(report.machine, error)
             return Answer(400)
         orders: list[wire.Order] = []
@@ -259,7 +259,7 @@
         machine.gone_at = max(machine.gone_at if not machine.known else 0.0, now + self.settings.worker_gone_s)
         return Answer(200, wire.encode(wire.Orders(standing.view.number, orders)))
 
-    def _complain(self, machine: str, error: wire.Malformed) -> None:
+    def _complain(self, machine: str, error: wire.MalformedError) -> None:
         """Once for each machine: a broken one says the same with every report."""
         if machine not in self.broken and len(self.broken) < self.settings.fd_limit:
             self.broken.add(machine)
@@ -271,7 +271,7 @@
             return
         try:
             heard = self.yard.hear(machine, report, False, self.now(), self.seen_view, self.tables)
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             self._complain(report.machine, error)
             return
         if heard.fresh:
@@ -302,7 +302,7 @@
         if self.learnt:
             try:
                 self.jobs.tell(self.learnt)
-            except Busy:
+            except InboxFullError:
                 return  # told later, with what comes until then
             self.learnt = Learnt(view=self.seen_view)
 
@@ -569,9 +569,9 @@
         try:
             async with self.commanding:
                 await self._send_orders(machine)
-        except NoAnswer:
+        except NoAnswerError:
             self.probe_failed[machine.name] = self.probe_failed.get(machine.name, 0) + 1
-        except (wire.Malformed, ValueError, Busy) as error:
+        except (wire.MalformedError, ValueError, InboxFullError) as error:
             log.error("%s answered a command with %s", machine.name, error)
         finally:
             self.probing[machine.name] = self.now() + self.settings.report_s / 4
@@ -869,7 +869,7 @@
     async def _ask_for(self, steal: Steal) -> None:
         try:
             await self.jobs.ask(steal)
-        except Busy:
+        except InboxFullError:
             pass
         finally:
             # Claimed anew, so not being released any more. Found on the bench: tasks were released and claimed
--- a/sloeswitch/actors/membership.py
+++ b/sloeswitch/actors/membership.py
@@ -18,10 +18,10 @@
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellation
 from sloeswitch.core.rendezvous import owner
-from sloeswitch.http import NoAnswer
+from sloeswitch.http import NoAnswerError
 from sloeswitch.mesh import Known, Mesh
 from sloeswitch.settings import Settings
-from sloeswitch.state import Outcome, Replica, Stale, StateClient, Urgency
+from sloeswitch.state import Outcome, Replica, StaleError, StateClient, Urgency
 
 log = logging.getLogger("membership")
 
@@ -136,7 +136,7 @@
                     await self._write_member()
                 if self.standing.may_act and not self.replica.tables.upgraded:
                     await self._mark()
-            except (NoAnswer, Stale):
+            except (NoAnswerError, StaleError):
                 pass
             pause = self.settings.controller_lease_s / 4 - (self.client.now() - started)
             await anyio.sleep(max(pause, self.settings.controller_lease_s / 16))
@@ -161,7 +161,7 @@
             return
         try:
             boot = wire.decode(reply.body, wire.Permit).permit
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             log.error("grant is malformed: %s", error)
             return
         self.settled = 0
@@ -190,7 +190,7 @@
             if outcome in (Outcome.DONE, Outcome.NO_LEASE):
                 self.replica.hint()
                 return outcome is Outcome.DONE
-            with contextlib.suppress(Stale):
+            with contextlib.suppress(StaleError):
                 await self.replica.fresh(self.client.timeout_s)
         return False
 
@@ -253,5 +253,5 @@
         await self._catch_up()
 
     async def _catch_up(self) -> None:
-        with contextlib.suppress(Stale):
+        with contextlib.suppress(StaleError):
             await self.replica.fresh(self.client.timeout_s)
--- a/sloeswitch/actors/users.py
+++ b/sloeswitch/actors/users.py
@@ -6,14 +6,14 @@
 import math
 
 from sloeswitch import wire
-from sloeswitch.actors.base import Busy
+from sloeswitch.actors.base import InboxFullError
 from sloeswitch.actors.jobs import Jobs
 from sloeswitch.actors.machines import Beat, Machines
 from sloeswitch.actors.membership import Standing
 from sloeswitch.core.quota import impossible
 from sloeswitch.http import Answer, Request, refuse
 from sloeswitch.settings import Settings
-from sloeswitch.state import Replica, Stale, StateClient
+from sloeswitch.state import Replica, StaleError, StateClient
 
 log = logging.getLogger("users")
 
@@ -42,7 +42,7 @@
     async def handle(self, request: Request) -> Answer:
         try:
             return await self._route(request)
-        except Busy:
+        except InboxFullError:
             return refuse(self.retry_s)
         except Exception:
             log.exception("while handling %s %s", request.method, request.path)
@@ -93,14 +93,14 @@
             return False
         try:
             await self.replica.fresh(self.read_s)
-        except Stale:
+        except StaleError:
             return False
         return True
 
     async def _submit(self, request: Request) -> Answer:
         try:
             name = wire.submitted_id(request.body)
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             return fault(400, str(error))
         if name is None:
             return fault(400, "id: not in the form wk-000412")
@@ -110,7 +110,7 @@
             return await self._known(name)
         try:
             spec = wire.check_spec(wire.decode(request.body, wire.JobSpec))
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             # A repeat of an accepted job is known whatever else is in it: look before refusing.
             log.info("%s is malformed: %s", name, error)
             return await self._known_or(name, fault(400, str(error)))
@@ -187,7 +187,7 @@
     async def _beat(self, request: Request) -> Answer:
         try:
             report = wire.decode(request.body, wire.Report)
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             log.error("malformed report: %s", error)
             return fault(400, str(error))
         # A report on the same connection, as soon as the next one is due, shows that the last answer was
--- a/sloeswitch/cloud.py
+++ b/sloeswitch/cloud.py
@@ -8,14 +8,14 @@
 import anyio
 
 from sloeswitch import wire
-from sloeswitch.http import Client, NoAnswer, Reply
+from sloeswitch.http import Client, NoAnswerError, Reply
 from sloeswitch.settings import Settings
 from sloeswitch.state import Bucket, Urgency
 
 log = logging.getLogger("cloud")
 
 
-class CloudTrouble(Exception):
+class CloudError(Exception):
     """No usable answer; what was asked for may or may not happen."""
 
 
@@ -40,8 +40,8 @@
             await anyio.sleep(-self.bucket.level / self.bucket.rate)
         try:
             return await self.http.request(method, path, body, self.timeout_s)
-        except NoAnswer as error:
-            raise CloudTrouble(str(error)) from None
+        except NoAnswerError as error:
+            raise CloudError(str(error)) from None
 
     async def catalog(self) -> wire.Catalog:
         reply = await self._call("GET", "/catalog", None)
@@ -58,7 +58,7 @@
         """Returns once the machines and all that is on them are gone."""
         reply = await self._call("POST", "/machines/delete", wire.delete_body(machines))
         if reply.status != 200:
-            raise CloudTrouble(f"status {reply.status}")
+            raise CloudError(f"status {reply.status}")
 
     async def machines(self) -> list[wire.Listed]:
         found: list[wire.Listed] = []
@@ -74,9 +74,9 @@
     @staticmethod
     def _read(reply: Reply, kind: type[wire.T]) -> wire.T:
         if reply.status != 200:
-            raise CloudTrouble(f"status {reply.status}")
+            raise CloudError(f"status {reply.status}")
         try:
             return wire.decode(reply.body, kind)
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             log.error("cloud answer is malformed: %s", error)
-            raise CloudTrouble("malformed") from None
+            raise CloudError("malformed") from None
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/yard.py
@@ -18,7 +18,7 @@
 from sloeswitch.core.placement import Room
 from sloeswitch.core.quota import Use
 from sloeswitch.core.tables import LIVE, Tables
-from sloeswitch.wire import JobSpec, MachineType, Malformed, Order, Report, ReportedTask, split_task, task_name
+from sloeswitch.wire import JobSpec, MachineType, MalformedError, Order, Report, ReportedTask, split_task, task_name
 
 PENDING, RUNNING, ENDED, FETCHING = "pending", "running", "ended", "fetching"
 TASK_STATES = {"fetching", "gathering", "running", "flushing", "ended"}
@@ -276,7 +276,7 @@
                 kept.add(key)
                 continue
             if item.state not in TASK_STATES:
-                raise Malformed(f"task state {item.state!r}")
+                raise MalformedError(f"task state {item.state!r}")
             if attempt is not None:
                 changed.append((attempt, item))
                 kept.add(key)
--- a/sloeswitch/http.py
+++ b/sloeswitch/http.py
@@ -284,7 +284,7 @@
         await stream.send(write(parser, Answer(400, b'{"error":"broken HTTP"}', close=True)))
 
 
-class NoAnswer(Exception):
+class NoAnswerError(Exception):
     """The request may or may not have been carried out."""
 
 
@@ -303,7 +303,7 @@
         self.idle: list[tuple[SocketStream, h11.Connection]] = []
 
     async def request(self, method: str, path: str, body: bytes | None, timeout_s: float) -> Reply:
-        """One exchange; NoAnswer when it fails in any way. Never sent twice by itself."""
+        """One exchange; NoAnswerError when it fails in any way. Never sent twice by itself."""
         stream: SocketStream | None = None
         try:
             with anyio.fail_after(timeout_s):
@@ -317,7 +317,7 @@
                 h11.ProtocolError) as error:  # fmt: skip
             if stream is not None:
                 await anyio.aclose_forcefully(stream)
-            raise NoAnswer(f"{type(error).__name__} {error}") from None
+            raise NoAnswerError(f"{type(error).__name__} {error}") from None
         except BaseException:
             if stream is not None:
                 with anyio.CancelScope(shield=True):
--- a/sloeswitch/mesh.py
+++ b/sloeswitch/mesh.py
@@ -42,7 +42,7 @@
 MOST_ENTRIES = (MAX_BODY - INFORM.size) // (ENTRY.size + 255)
 
 
-class BadFrame(Exception):
+class FrameError(Exception):
     pass
 
 
@@ -98,13 +98,13 @@
                 stamp, length = ENTRY.unpack_from(body, at)
                 at += ENTRY.size
                 if at + length > len(body):
-                    raise BadFrame("a name is cut off")
+                    raise FrameError("a name is cut off")
                 entries.append(Cancellation(body[at : at + length].decode(), stamp))
                 at += length
         except (struct.error, UnicodeDecodeError) as error:
-            raise BadFrame(str(error)) from None
+            raise FrameError(str(error)) from None
         if at != len(body):
-            raise BadFrame(f"{len(body) - at} bytes too many")
+            raise FrameError(f"{len(body) - at} bytes too many")
         return Answer(
             view, bool(flags & STATE_OK), bool(flags & WHOLE), log, Extract(entries, upto, bool(flags & MORE))
         )  # fmt: skip
@@ -118,7 +118,7 @@
     """The length of the body that follows."""
     magic, version, got, length = HEADER.unpack(header)
     if magic != MAGIC or version != VERSION or got != kind or (size is not None and length != size):
-        raise BadFrame(f"frame {header!r}")
+        raise FrameError(f"frame {header!r}")
     return int(length)
 
 
@@ -179,7 +179,7 @@
                         check_header(header, TYPE_INQUIRE, INQUIRE.size)
                         reply = self.answer(await reader.exactly(INQUIRE.size)).pack()
                     await stream.send(reply)
-        except BadFrame as error:
+        except FrameError as error:
             log.error("%s", error)
         except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
             pass
@@ -219,7 +219,7 @@
                     if not again:
                         await anyio.sleep(self.pause_s)
                 earlier = False
-            except BadFrame as error:
+            except FrameError as error:
                 log.error("from %s: %s", sibling.member, error)
             except (anyio.EndOfStream, anyio.BrokenResourceError):
                 earlier = not earlier and not answered
--- a/sloeswitch/state.py
+++ b/sloeswitch/state.py
@@ -12,7 +12,7 @@
 
 from sloeswitch import wire
 from sloeswitch.core.tables import PREFIX, Tables
-from sloeswitch.http import Client, NoAnswer, Reply
+from sloeswitch.http import Client, NoAnswerError, Reply
 from sloeswitch.settings import Settings
 
 log = logging.getLogger("state")
@@ -106,12 +106,12 @@
         self.writes.level += changes
 
     async def call(self, method: str, path: str, body: bytes | None, urgency: Urgency, hold_s: float = 0.0) -> Reply:
-        """One request; NoAnswer when its result is unknown."""
+        """One request; NoAnswerError when its result is unknown."""
         await self._admit(self.requests, 1, urgency)
         client = self.watch_http if hold_s else self.http
         try:
             reply = await client.request(method, path, body, self.timeout_s + hold_s)
-        except NoAnswer:
+        except NoAnswerError:
             self._failed()
             raise
         if reply.status in (429, 503):
@@ -150,7 +150,7 @@
             await self.pay(len(writes) + len(drops), urgency)
         try:
             reply = await self.call("POST", "/multi", body, urgency)
-        except NoAnswer as error:
+        except NoAnswerError as error:
             log.debug("transaction without answer: %s", error)
             return Outcome.UNKNOWN, 0
         try:
@@ -158,7 +158,7 @@
                 return Outcome.DONE, wire.decode(reply.body, wire.Epoch).epoch
             if reply.status == 409:
                 return Outcome.CONFLICT, wire.decode(reply.body, wire.Epoch).epoch
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             log.error("transaction answered with %s", error)
             return Outcome.UNKNOWN, 0
         if reply.status == 400:
@@ -186,7 +186,7 @@
                 log.error("from now on values of at most %d bytes", self.value_bytes)
 
 
-class Stale(Exception):
+class StaleError(Exception):
     """A fresh read could not be had in time."""
 
 
@@ -224,7 +224,7 @@
         group.start_soon(self._serve_reads)
 
     async def fresh(self, timeout_s: float) -> None:
-        """Returns once the tables hold all that was stored when this was called; Stale otherwise. Guards against a
+        """Returns once the tables hold all that was stored when this was called; StaleError otherwise. Guards against a
         clock that goes in steps: only a read that is sent after the call serves it, by its number."""
         needed = self._sent + 1
         try:
@@ -236,9 +236,9 @@
                     self._wanted.set()
                     await waiter.wait()
                     if self._read < needed and not self.client.reachable:
-                        raise Stale
+                        raise StaleError
         except TimeoutError:
-            raise Stale from None
+            raise StaleError from None
 
     def hint(self) -> None:
         """Something was stored: read it soon."""
@@ -305,7 +305,7 @@
                     await self._read_changes(0.0)
                     self._read = self._sent
                     self.fresh_at = max(self.fresh_at, sent)
-            except NoAnswer:
+            except NoAnswerError:
                 await anyio.sleep(self.gap_s / 4)
             finally:
                 if waiter is not None:
@@ -321,7 +321,7 @@
                 await anyio.sleep(self.gap_s)
                 while (wait := self.fresh_at + self.gap_s - self.now()) > 0:
                     await anyio.sleep(wait)  # fresh reads bring the same
-            except NoAnswer as error:
+            except NoAnswerError as error:
                 log.debug("watch: %s", error)
                 await anyio.sleep(self.gap_s)
 
@@ -331,14 +331,14 @@
         if reply.status == 410:
             log.info("changes since %d are no longer kept: reading all again", self.applied)
             self.loaded = False
-            raise NoAnswer("too old")
+            raise NoAnswerError("too old")
         if reply.status != 200:
-            raise NoAnswer(f"status {reply.status}")
+            raise NoAnswerError(f"status {reply.status}")
         try:
             changes = wire.decode(reply.body, wire.Changes)
-        except wire.Malformed as error:
+        except wire.MalformedError as error:
             log.error("changes are malformed: %s", error)
-            raise NoAnswer("malformed") from None
+            raise NoAnswerError("malformed") from None
         if not self.loaded:
             return
         for event in sorted(changes.events, key=lambda event: event.stamp):
@@ -363,12 +363,12 @@
             path = f"/kv?starts={PREFIX}&page=1000" + (f"&after={after}" if after else "")
             reply = await self.client.call("GET", path, None, Urgency.LEASE)
             if reply.status != 200:
-                raise NoAnswer(f"status {reply.status}")
+                raise NoAnswerError(f"status {reply.status}")
             try:
                 page = wire.decode(reply.body, wire.RowPage)
-            except wire.Malformed as error:
+            except wire.MalformedError as error:
                 log.error("rows are malformed: %s", error)
-                raise NoAnswer("malformed") from None
+                raise NoAnswerError("malformed") from None
             if first_epoch is None:
                 first_epoch = page.epoch
             rows += page.rows
--- a/sloeswitch/wire.py
+++ b/sloeswitch/wire.py
@@ -23,7 +23,7 @@
 MAX_BODY = 64 * 1024
 
 
-class Malformed(Exception):
+class MalformedError(Exception):
     """A message that is not what the protocol says."""
 
 
@@ -199,14 +199,14 @@
 
 
 def decode(data: bytes, kind: type[T]) -> T:
-    """A message of the given kind, or Malformed saying what is wrong with it."""
+    """A message of the given kind, or MalformedError saying what is wrong with it."""
     decoder = _decoders.get(kind)
     if decoder is None:
         decoder = _decoders[kind] = msgspec.json.Decoder(kind)
     try:
         result: T = decoder.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        raise Malformed(str(error)) from None
+        raise MalformedError(str(error)) from None
     return result
 
 
@@ -214,7 +214,7 @@
 
 
 def submitted_id(data: bytes) -> str | None:
-    """The job id of a submission whatever else is in it; Malformed unless it is a JSON object."""
+    """The job id of a submission whatever else is in it; MalformedError unless it is a JSON object."""
     body = decode(data, dict[str, Any])
     job = body.get("id")
     return job if isinstance(job, str) and ID_FORM.fullmatch(job) else None
@@ -223,21 +223,21 @@
 def check_spec(spec: JobSpec) -> JobSpec:
     """Refuses what has the right types and still cannot be a job."""
     if not ID_FORM.fullmatch(spec.id):
-        raise Malformed("id: not in the form wk-000412")
+        raise MalformedError("id: not in the form wk-000412")
     if spec.shape not in (ARRAY, GANG):
-        raise Malformed("shape: neither sweep nor group")
+        raise MalformedError("shape: neither sweep nor group")
     if spec.priority not in URGENCIES:
-        raise Malformed("urgency: unknown")
+        raise MalformedError("urgency: unknown")
     if not 1 <= spec.tasks <= MAX_TASKS:
-        raise Malformed(f"visits: not between 1 and {MAX_TASKS}")
+        raise MalformedError(f"visits: not between 1 and {MAX_TASKS}")
     for name in ("cores", "gpus", "memory", "image_gb", "estimate_s", "checkpoint_s", "save_s"):
         amount = getattr(spec, name)
         if not math.isfinite(amount) or amount < 0:
-            raise Malformed(f"{name}: negative or not finite")
+            raise MalformedError(f"{name}: negative or not finite")
     if spec.deadline_s is not None and not (math.isfinite(spec.deadline_s) and spec.deadline_s >= 0):
-        raise Malformed("dueS: negative or not finite")
+        raise MalformedError("dueS: negative or not finite")
     if not all(ID_FORM.fullmatch(name) for name in spec.awaits):
-        raise Malformed("awaits: not all are job ids")
+        raise MalformedError("awaits: not all are job ids")
     if len(set(spec.awaits)) < len(spec.awaits):
         spec = msgspec.structs.replace(spec, awaits=tuple(dict.fromkeys(spec.awaits)))
     return spec
@@ -250,7 +250,7 @@
 def split_task(name: str) -> tuple[str, int]:
     job, _, index = name.rpartition("/")
     if not job or not index.isdigit():
-        raise Malformed(f"task name {name!r}")
+        raise MalformedError(f"task name {name!r}")
     return job, int(index)
 
 
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -11,7 +11,7 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.base import BATCH, Actor, Busy
+from sloeswitch.actors.base import BATCH, Actor, InboxFullError
 from sloeswitch.actors.fleet import Fleet
 from sloeswitch.actors.jobs import Steal
 from sloeswitch.actors.machines import Beat
@@ -514,7 +514,7 @@
         actor = Counting(most=100)
         for number in range(100):
             actor.tell(number)
-        with pytest.raises(Busy):
+        with pytest.raises(InboxFullError):
             actor.tell(100)
         async with anyio.create_task_group() as group:
             group.start_soon(actor.run)
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -32,7 +32,7 @@
     ],
 )
 def test_malformed_submissions_are_refused(changes: dict[str, Any]) -> None:
-    with pytest.raises(wire.Malformed):
+    with pytest.raises(wire.MalformedError):
         wire.check_spec(wire.decode(wire.encode(submission(**changes)), wire.JobSpec))
 
 
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize("data", [b"", b"[]", b"{", b'"x"', b"\xff", b'{"id":NaN}'])
 def test_what_is_no_json_object_is_malformed(data: bytes) -> None:
-    with pytest.raises(wire.Malformed):
+    with pytest.raises(wire.MalformedError):
         wire.submitted_id(data)
 
 
@@ -57,7 +57,7 @@
     [b"sloX\x01\x01\x00\x08", b"sloe\x02\x01\x00\x08", b"sloe\x01\x02\x00\x08", b"sloe\x01\x01\xff\xff"],
 )
 def test_frames_of_another_kind_are_refused(header: bytes) -> None:
-    with pytest.raises(mesh.BadFrame):
+    with pytest.raises(mesh.FrameError):
         mesh.check_header(header, mesh.TYPE_ASK, mesh.ASK.size)
 
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -14,7 +14,7 @@
 from sloeswitch.core import tables as t
 from sloeswitch.http import Answer, Reply, Request
 from sloeswitch.settings import parse
-from sloeswitch.state import Replica, Stale
+from sloeswitch.state import Replica, StaleError
 from tests.conftest import SETTINGS, Store, report, spec, submission
 from tests.test_actors import World, machine_up
 
@@ -181,7 +181,7 @@
 
     # Asked about, cancelled or submitted again the answer is the same, and needs no state service.
     async def stale(timeout_s: float) -> None:
-        raise Stale
+        raise StaleError
 
     world.replica.fresh = stale  # type: ignore[method-assign]
     for again in (ask(world, "POST", f"/submissions/{C}/cancel"), ask(world, "POST", "/submissions", submission(C))):
@@ -265,7 +265,7 @@
 
 def test_an_unknown_prerequisite_is_judged_on_a_fresh_read_only(world: World) -> None:
     async def stale(timeout_s: float) -> None:
-        raise Stale
+        raise StaleError
 
     async def just_accepted_elsewhere(timeout_s: float) -> None:
         if A not in world.store.tables.jobs:
