--- a/sloeswitch/actors/claim_planner.py
+++ b/sloeswitch/actors/claim_planner.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from sloeswitch.actors.jobs import Steal
+from sloeswitch.actors.jobs import ClaimRequest
 from sloeswitch.core import placement, quota, ready, taskset
 from sloeswitch.core.tables import Job
 
@@ -36,9 +36,9 @@
         self.max_jobs = max(1, machines.client.txn_ops // 2)
         # By job: what was placed on paper.
         self.taken: dict[str, int] = {}
-        self.request = Steal()
+        self.request = ClaimRequest()
 
-    def plan(self, line: list[Job], controllers: int, turn: int) -> Steal:
+    def plan(self, line: list[Job], controllers: int, turn: int) -> ClaimRequest:
         """The claims to ask for. `turn`: this controller's place among them, so that not all claim the same job."""
         for job in ready.dealt(line, controllers, turn, self.machines._at_home):
             if not self.rooms and self.ahead_cores < self.machines.least_cores:
--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -273,7 +273,7 @@
             if spared.get(kind, 0) > 0:
                 spared[kind] -= 1
                 chosen.add(name)
-        for machine in self.machines.yard.machines.values():
+        for machine in self.machines.registry.machines.values():
             machine.spared = machine.name in chosen
 
     def watch_idle(self) -> None:
@@ -281,7 +281,7 @@
         if self.machines is None or not self.standing.may_act:
             return
         now = self.now()
-        self.zones.observe(self.machines.yard.machines.values(), now)
+        self.zones.observe(self.machines.registry.machines.values(), now)
         wanted, reserved = self._needs(plan.SPREAD_KEEP)
         self._spare_dear(wanted + reserved)
         settled = self.tables.all_settled()
@@ -290,7 +290,7 @@
             if job.runnable and self.tables.open_tasks(job, settled)
         ])  # fmt: skip
         backlog += [need.spec for need in reserved]
-        for machine in list(self.machines.yard.machines.values()):
+        for machine in list(self.machines.registry.machines.values()):
             kind = self.tables.types.get(machine.type)
             if kind is None or not machine.heard or machine.draining:
                 continue
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -1,7 +1,7 @@
 """Jobs: every write to job records. Owns what is learnt but not yet stored.
 
 One round at a time: completions, releases and adoptions that are due, together with the claims that the
-machines actor asked for (its Steal), go into one conditional transaction. A conflict means that
+machines actor asked for (its ClaimRequest), go into one conditional transaction. A conflict means that
 somebody else was quicker: the tables are read afresh and the next round starts from them.
 """
 
@@ -31,7 +31,7 @@
 
 
 @dataclass
-class Steal(Ask):
+class ClaimRequest(Ask):
     """Claim so many tasks of these jobs, and ask for these allowances of teams. Answered when that is
     in the tables, or not to be had."""
 
@@ -110,7 +110,7 @@
         self.standing = standing
         self.now = now
         self.unstored: dict[str, Unstored] = {}
-        self.steal: Steal | None = None
+        self.request: ClaimRequest | None = None
         self.wake = anyio.Event()
         # A job's last completions wait this long for company; users expect them within 3 s (protocol).
         self.batch_s = 0.3
@@ -138,10 +138,10 @@
                     note.adopted, note.adopted_view = 0, message.view
                 if message.view == note.adopted_view:
                     note.adopted |= tasks
-        elif isinstance(message, Steal):
-            if self.steal is not None:
-                self.steal.reply(False)
-            self.steal = message
+        elif isinstance(message, ClaimRequest):
+            if self.request is not None:
+                self.request.reply(False)
+            self.request = message
         self.wake.set()
 
     def _note(self, job: str) -> Unstored:
@@ -169,40 +169,40 @@
                 await anyio.sleep(self.batch_s)
 
     async def _round(self) -> None:
-        steal, self.steal = self.steal, None
+        request, self.request = self.request, None
         if not self.replica.loaded or not self.standing.boot:
-            if steal is not None:
-                steal.reply(False)
+            if request is not None:
+                request.reply(False)
             return
         acting = self.standing.may_act
-        names = self._due(steal if acting else None)
-        cost = len(names) + (len(steal.grow) + len(steal.shrink) if steal is not None and acting else 0)
+        names = self._due(request if acting else None)
+        cost = len(names) + (len(request.grow) + len(request.shrink) if request is not None and acting else 0)
         cost += 2 * bool(self.tables.upgraded and self._adopted())
         if not cost:
-            if steal is not None:
-                steal.reply(False)
+            if request is not None:
+                request.reply(False)
             return
-        urgency = Urgency.PROGRESS if steal is None and not self._pressing() else Urgency.CLAIM
+        urgency = Urgency.PROGRESS if request is None and not self._pressing() else Urgency.CLAIM
         # The rate first, then the freshest tables: conditions that wait for their turn grow stale, and a
         # transaction that fails on them costs as much as one that does not.
         room = self.client.most_changes(urgency)
         paid = min(cost, room)
         await self.client.pay(paid, urgency)
-        if steal is not None and acting:
+        if request is not None and acting:
             try:
                 await self.replica.fresh(self.client.timeout_s)
             except StaleError:
                 acting = False
         self._tidy()
         acting = acting and self.standing.may_act
-        names = self._due(steal if acting else None)
+        names = self._due(request if acting else None)
         settled = self.tables.all_settled()
         conditions: dict[str, int] = {}
         writes: dict[str, Any] = {}
         claimed = False
         size = 0
         teams: dict[str, dict[str, tuple[float, float]]] = {}
-        shrinking = len(steal.shrink) if steal is not None and acting else 0
+        shrinking = len(request.shrink) if request is not None and acting else 0
         adopted: dict[str, Any] = {}
         if self.tables.upgraded and shrinking + 2 <= self.client.txn_ops:
             adopted = self._adopt_together(teams, settled, room)
@@ -210,9 +210,9 @@
             key = t.adoption_key(self.standing.tag, self.adoptions_made)
             writes[key], conditions[key] = {"m": adopted}, 0
             claimed = True
-        if steal is not None and acting:
+        if request is not None and acting:
             tag = self.standing.tag
-            for team, wanted in steal.grow.items():
+            for team, wanted in request.grow.items():
                 if adopted and team not in teams and len(teams) + 1 >= room:
                     continue  # asked for again
                 limit = self.settings.teams[team]
@@ -221,7 +221,7 @@
                 mine = held.get(tag, (0.0, 0.0))
                 more = max(wanted[0], mine[0]), max(wanted[1], mine[1])
                 teams[team] = quota.reallot(held, (limit.cpus_max, limit.gpus_max), tag, more)
-            for team, (stamp, cores, gpus) in steal.shrink.items():
+            for team, (stamp, cores, gpus) in request.shrink.items():
                 if stamp == self.tables.stamp(t.team_key(team)):
                     held = self._held(teams, team, settled)
                     mine = held.get(tag, (0.0, 0.0))
@@ -232,7 +232,7 @@
             job = self.tables.jobs.get(name)
             if job is None:
                 continue
-            want = steal.wants.get(name, 0) if steal is not None and acting else 0
+            want = request.wants.get(name, 0) if request is not None and acting else 0
             team = job.spec.team
             adopting = self.unstored[name].adopted if name in self.unstored and name not in adopted else 0
             done = job.progress.done | (self.unstored[name].done if name in self.unstored else 0)
@@ -251,7 +251,7 @@
                 claimed = True  # relies on the view
             gained = False
             if want and job.runnable:
-                gained = self._claim(job, progress, want, steal)
+                gained = self._claim(job, progress, want, request)
             if gained or adopting:
                 claimed = True
             if not progress.claims:
@@ -261,14 +261,14 @@
             size += self._put(job, progress, conditions, writes)
         for team, held in teams.items():
             value = {tag: list(amounts) for tag, amounts in held.items() if amounts[0] > 0 or amounts[1] > 0}
-            if held != self.tables.allowances.get(team, {}) or (steal is not None and team in steal.rewrite):
+            if held != self.tables.allowances.get(team, {}) or (request is not None and team in request.rewrite):
                 writes[t.team_key(team)] = value
                 conditions[t.team_key(team)] = self.tables.stamp(t.team_key(team))
                 claimed = True
         if not writes:
             self.client.pay_back(paid)
-            if steal is not None:
-                steal.reply(False)
+            if request is not None:
+                request.reply(False)
             return
         if claimed:
             conditions.update(self.standing.claim_conditions())
@@ -280,8 +280,8 @@
             with contextlib.suppress(StaleError):
                 await self.replica.fresh(self.client.timeout_s)
         self._tidy()
-        if steal is not None:
-            steal.reply(outcome is Outcome.DONE)
+        if request is not None:
+            request.reply(outcome is Outcome.DONE)
         if outcome in (Outcome.UNKNOWN, Outcome.REFUSED):
             await anyio.sleep(self.batch_s / 2)
 
@@ -335,12 +335,12 @@
                 held = quota.move(held, holder, self.standing.tag, job.spec, (mask & adopted).bit_count())
         teams[job.spec.team] = held
 
-    def _due(self, steal: Steal | None) -> list[str]:
+    def _due(self, request: ClaimRequest | None) -> list[str]:
         """Jobs to be written in this round, the most urgent first."""
         # Before the mark adoptions are stored job by job, in turns with claims: what is adopted runs meanwhile,
         # but free room should not wait.
         adopting = [] if self.tables.upgraded else self._adopted()
-        wanted = list(steal.wants) if steal is not None else []
+        wanted = list(request.wants) if request is not None else []
         pairs = itertools.zip_longest(wanted, adopting)
         taken = [name for pair in pairs for name in pair if name is not None]
         now = self.now()
@@ -421,28 +421,32 @@
         progress.claims = {holder: mask for holder, mask in progress.claims.items() if mask}
         return progress
 
-    def _claim(self, job: Job, progress: Progress, want: int, steal: Steal | None) -> bool:
+    def _claim(self, job: Job, progress: Progress, want: int, request: ClaimRequest | None) -> bool:
         spec = job.spec
         note = self.unstored.get(spec.id)
         # What is being released is for others to take.
         free = job.everything & ~progress.done & ~progress.claimed() & ~(note.released if note else 0)
         if spec.gang and want < free.bit_count():
             return False
-        if spec.bound and progress.zone is None and (steal is None or spec.id not in steal.zones or progress.claims):
+        if (
+            spec.bound
+            and progress.zone is None
+            and (request is None or spec.id not in request.zones or progress.claims)
+        ):
             # Guards against tasks claimed ahead of any room: without a stored zone they would go to any. Those that
             # an earlier version claimed so are to be gone before there is one.
             return False
-        if spec.bound and steal is not None:
-            free &= steal.picks.get(spec.id, 0)
+        if spec.bound and request is not None:
+            free &= request.picks.get(spec.id, 0)
         gained = taskset.lowest(free, want)
         if not gained:
             return False
         tag = self.standing.tag
         progress.claims[tag] = progress.claims.get(tag, 0) | gained
-        if steal is not None:
-            steal.gained[spec.id] = gained
-            if spec.id in steal.zones and progress.zone is None:
-                progress.zone = steal.zones[spec.id]
+        if request is not None:
+            request.gained[spec.id] = gained
+            if spec.id in request.zones and progress.zone is None:
+                progress.zone = request.zones[spec.id]
         return True
 
     def _put(self, job: Job, progress: Progress, conditions: dict[str, int], writes: dict[str, Any]) -> int:
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -1,6 +1,6 @@
 """Machines: reports, orders, placement and accounting of the machines this controller owns.
 
-Owns the yard. It is the Steal side of dwork: free room asks the jobs actor for the oldest ready tasks,
+Owns the registry. It is the ClaimRequest side of dwork: free room asks the jobs actor for the oldest ready tasks,
 completions go back as Complete, and work that comes back is placed first.
 """
 
@@ -20,7 +20,7 @@
 from sloeswitch.actors import fleet
 from sloeswitch.actors.base import Actor, Ask, InboxFullError
 from sloeswitch.actors.claim_planner import ClaimPlanner
-from sloeswitch.actors.jobs import Jobs, Learnt, Steal, note_task
+from sloeswitch.actors.jobs import ClaimRequest, Jobs, Learnt, note_task
 from sloeswitch.actors.membership import Membership, Settled, Standing
 from sloeswitch.actors.registration import Registration
 from sloeswitch.core import placement, preemption, quota, ready, taskset
@@ -28,8 +28,8 @@
 from sloeswitch.core.allowances import Allowance
 from sloeswitch.core.health import Health
 from sloeswitch.core.quota import fits_type
+from sloeswitch.core.registry import FETCHING, RUNNING, Attempt, Heard, Machine, MachineRegistry
 from sloeswitch.core.tables import LIVE, Job, Tables
-from sloeswitch.core.yard import FETCHING, RUNNING, Attempt, Heard, Machine, Yard
 from sloeswitch.http import Answer, Client, NoAnswerError, refuse
 from sloeswitch.settings import Address, Settings, Team
 from sloeswitch.state import Replica, StateClient, Urgency
@@ -38,14 +38,14 @@
 
 
 @dataclass
-class Beat(Ask):
+class Heartbeat(Ask):
     report: wire.Report | None = None
     # Whether the machine is seen to have received our last answer to it, a short while ago.
     received: bool = False
 
 
 @dataclass
-class Direct:
+class CommandReply:
     """A machine's answer to a direct command."""
 
     report: wire.Report
@@ -102,7 +102,7 @@
         self.now = now
         self.group: TaskGroup | None = None
         self.fleet: fleet.Fleet | None = None
-        self.yard = Yard()
+        self.registry = MachineRegistry()
         self.health = Health(settings.report_s, 20 * settings.lease_s)
         self.boot = 0
         self.seen_view = 0
@@ -148,14 +148,14 @@
     # -- messages
 
     async def handle(self, message: Any) -> None:
-        if isinstance(message, Beat):
+        if isinstance(message, Heartbeat):
             assert message.report is not None
-            message.reply(self._beat(message.report, message.received))
+            message.reply(self._heartbeat(message.report, message.received))
         elif isinstance(message, Tick):
             self._tick()
             message.reply(None)
-        elif isinstance(message, Direct):
-            self._direct(message.report)
+        elif isinstance(message, CommandReply):
+            self._command_reply(message.report)
         elif isinstance(message, Deleted):
             self._deleted(message.machines)
 
@@ -182,7 +182,7 @@
         if standing.boot != self.boot:
             self.boot = standing.boot
             self.seen_view = 0
-            self.yard.reset()
+            self.registry.reset()
             self.shrinking.clear()
             self.surplus_since.clear()
             self.releasing.clear()
@@ -195,25 +195,25 @@
         consecutive = view.number == self.seen_view + 1
         me = self.settings.member
         gone_at = self.now() + self.settings.takeover_gone_s
-        for name in list(self.yard.machines):
-            machine = self.yard.machines[name]
+        for name in list(self.registry.machines):
+            machine = self.registry.machines[name]
             if standing.owner(name) != me:
-                self.yard.give_up(name)
+                self.registry.give_up(name)
             elif not consecutive:
-                self.yard.unhear(machine, view.number, gone_at)
+                self.registry.unhear(machine, view.number, gone_at)
         for name, row in self.tables.machines.items():
-            if standing.owner(name) == me and name not in self.yard.machines:
-                self.yard.take(name, row.address, row.type, row.zone, row.spot, view.number, gone_at)
+            if standing.owner(name) == me and name not in self.registry.machines:
+                self.registry.take(name, row.address, row.type, row.zone, row.spot, view.number, gone_at)
         self.seen_view = view.number
         self._reckon_limbo()
-        self.learnt.adopted = dict(self.yard.still_adopting())
+        self.learnt.adopted = dict(self.registry.still_adopting())
         self.learnt.view = view.number
-        log.info("view %d: %d machines are ours, %d of them to be heard", view.number, len(self.yard.machines),
-                 sum(not machine.known for machine in self.yard.machines.values()))  # fmt: skip
+        log.info("view %d: %d machines are ours, %d of them to be heard", view.number, len(self.registry.machines),
+                 sum(not machine.known for machine in self.registry.machines.values()))  # fmt: skip
 
     # -- reports
 
-    def _beat(self, report: wire.Report, received: bool) -> Answer:
+    def _heartbeat(self, report: wire.Report, received: bool) -> Answer:
         standing = self.standing
         if not standing.may_answer:
             return refuse(1)
@@ -224,10 +224,10 @@
         if report.token > standing.view.number or report.machine in self.tables.deleted:
             return refuse(1)
         now = self.now()
-        machine = self.yard.machines.get(report.machine)
+        machine = self.registry.machines.get(report.machine)
         if machine is None:
             # Never registered, so that nobody can have started anything on it.
-            machine = self.yard.take(
+            machine = self.registry.take(
                 report.machine, report.address, report.type, report.zone, report.spot,
                 standing.view.number, now + self.settings.worker_gone_s,
             )  # fmt: skip
@@ -235,13 +235,13 @@
             if self.tables.types and report.type not in self.tables.types and report.type not in self.unknown:
                 self.unknown.add(report.type)
                 log.error("%s is of unknown type %s: machines of it get no work", report.machine, report.type)
-        elif self.yard.is_late(machine, report):
+        elif self.registry.is_late(machine, report):
             # Neither a sign of life nor worth an answer that could renew the machine's lease: our own books
             # go by newer reports. Were it the machine's last word after all, its next one is newer.
             return refuse(1)
         was_heard = machine.heard
         try:
-            heard = self.yard.hear(machine, report, True, now, standing.view.number, self.tables)
+            heard = self.registry.hear(machine, report, True, now, standing.view.number, self.tables)
         except wire.MalformedError as error:
             self._complain(report.machine, error)
             return Answer(400)
@@ -254,7 +254,7 @@
                 machine.reached_at = now
             self._after(machine, heard)
             self._fill(machine)
-            orders = self.yard.orders(machine, self.tables, report.serial)
+            orders = self.registry.orders(machine, self.tables, report.serial)
         machine.answered_at = now
         machine.gone_at = max(machine.gone_at if not machine.known else 0.0, now + self.settings.worker_gone_s)
         return Answer(200, wire.encode(wire.Orders(standing.view.number, orders)))
@@ -265,12 +265,12 @@
             self.broken.add(machine)
             log.error("report of %s: %s", machine, error)
 
-    def _direct(self, report: wire.Report) -> None:
-        machine = self.yard.machines.get(report.machine)
+    def _command_reply(self, report: wire.Report) -> None:
+        machine = self.registry.machines.get(report.machine)
         if machine is None or self.seen_view != self.standing.view.number:
             return
         try:
-            heard = self.yard.hear(machine, report, False, self.now(), self.seen_view, self.tables)
+            heard = self.registry.hear(machine, report, False, self.now(), self.seen_view, self.tables)
         except wire.MalformedError as error:
             self._complain(report.machine, error)
             return
@@ -335,7 +335,7 @@
             return 0
         name = job.spec.id
         settled = job.progress.done | self.finished.get(name, 0) | self.releasing.get(name, 0)
-        return self.yard.waiting(name, claimed, settled)
+        return self.registry.waiting(name, claimed, settled)
 
     # -- the tick
 
@@ -356,14 +356,14 @@
             self._take_unknown()
         if now >= self.watch_at:
             self.watch_at = now + self.settings.report_s / 4
-            for machine in list(self.yard.machines.values()):
+            for machine in list(self.registry.machines.values()):
                 self._watch_over(machine, now)
             if standing.may_act:
                 self._empty_spared(now)
         self._stop_cancelled()
         if self.tables.all_settled():
-            self.yard.limbo.clear()
-        self.yard.prune_limbo(self.tables, standing.tag)
+            self.registry.limbo.clear()
+        self.registry.prune_limbo(self.tables, standing.tag)
         self._reckon_limbo()
         self._prune_told()
         self._line_up()
@@ -371,37 +371,37 @@
             self._place_waiting()
         if standing.may_act:
             self._make_room(now)
-            if self.yard.settled(self.tables, standing.tag) and self.membership.settled != self.seen_view:
+            if self.registry.settled(self.tables, standing.tag) and self.membership.settled != self.seen_view:
                 self.membership.tell(Settled(self.seen_view))
             self._register()
             self._request_claims()
         self._tell_jobs()
 
     def _take_unknown(self) -> None:
-        """Machines of ours in the tables that the yard lacks. Guards against a registration that is carried out late,
-        after its machine was deleted and left out: nobody would look after it, and it would count as supply."""
+        """Machines of ours in the tables that the registry lacks. Guards against a registration that is carried out
+        late, after its machine was deleted and left out: nobody would look after it, and it would count as supply."""
         gone_at = self.now() + self.settings.takeover_gone_s
         for name, row in self.tables.machines.items():
-            if name not in self.yard.machines and name not in self.registration.leaving:
+            if name not in self.registry.machines and name not in self.registration.leaving:
                 if self.standing.owner(name) != self.settings.member:
                     continue
                 log.info("%s is in the tables and was not looked after", name)
-                self.yard.take(name, row.address, row.type, row.zone, row.spot, self.seen_view, gone_at)
+                self.registry.take(name, row.address, row.type, row.zone, row.spot, self.seen_view, gone_at)
 
     def _has_begun(self, job: Job) -> bool:
         """Claimed by us and nowhere yet is not begun: it must not lose its place in the line for that."""
         claims = job.progress.claims
         ours = self.standing.tag in claims
-        return bool(job.progress.done or len(claims) > ours or self.yard.placed.get(job.spec.id))
+        return bool(job.progress.done or len(claims) > ours or self.registry.placed.get(job.spec.id))
 
     def _summary(self) -> None:
         """What an operator wants to know at a glance, once in a while."""
-        machines = [m for m in self.yard.machines.values() if m.heard and m.type in self.tables.types]
+        machines = [m for m in self.registry.machines.values() if m.heard and m.type in self.tables.types]
         live = [job for job in self.tables.jobs.values() if job.status == LIVE]
         log.info(
             "%d machines up (%d not to be used), %.0f of %.0f cores in use, %d tasks placed, %d fetching;"
             " %d jobs live, %d of them wait for others, %d have work open",
-            len(machines), sum(not self.yard.usable(m) for m in machines), sum(m.use.cores for m in machines),
+            len(machines), sum(not self.registry.usable(m) for m in machines), sum(m.use.cores for m in machines),
             sum(self.tables.types[m.type].cores for m in machines), sum(len(m.attempts) for m in machines),
             sum(attempt.state == FETCHING for m in machines for attempt in m.attempts.values()), len(live),
             sum(not job.runnable for job in live),
@@ -415,14 +415,14 @@
 
     def _reckon_limbo(self) -> None:
         self.limbo_uses = {}
-        for name, mask in self.yard.limbo.items():
+        for name, mask in self.registry.limbo.items():
             job = self.tables.jobs.get(name)
             if job is not None:
                 self.limbo_uses.setdefault(job.spec.team, quota.Use()).add(job.spec, mask.bit_count())
 
     def _watch_over(self, machine: Machine, now: float) -> None:
         if now >= machine.gone_at and (machine.heard or not machine.accounted):
-            lost = self.yard.lease_over(machine)
+            lost = self.registry.lease_over(machine)
             log.info("%s is silent and its lease is over: %d tasks come back", machine.name, len(lost))
         silent = now - max(machine.heard_at, machine.answered_at, machine.gone_at - self.settings.takeover_gone_s)
         if (machine.heard and silent > self.settings.late_s) or not machine.known:
@@ -433,7 +433,7 @@
         if machine.heard:
             deaf_s = now - max(machine.reached_at, self.answering_since)
         unreached = max(silent, mute_s) > self.settings.late_s or not machine.reached
-        if unreached and self.yard.withdraw_unsent(machine):
+        if unreached and self.registry.withdraw_unsent(machine):
             self.wake.set()
         if (
             machine.cancelled_since is not None and now - machine.cancelled_since > OVERDUE * self.settings.cancel_s
@@ -465,7 +465,7 @@
         them save, have run for a while, and there is room elsewhere. One long task would else keep a whole
         machine for minutes."""
         lean = [
-            machine for machine in self.yard.machines.values()
+            machine for machine in self.registry.machines.values()
             if machine.spared and machine.reached and machine.attempts and machine.type in self.tables.types
             and machine.use.cores <= LEAN * self.tables.types[machine.type].cores
             and all(movable(attempt, now) for attempt in machine.attempts.values())
@@ -483,7 +483,7 @@
 
     def _blind(self, now: float) -> bool:
         """Most machines silent or unreached at once points to our own network; then their leases must do."""
-        heard = [machine for machine in self.yard.machines.values() if machine.heard]
+        heard = [machine for machine in self.registry.machines.values() if machine.heard]
         late = sum(
             now - min(machine.heard_at, machine.reported_at or 0.0) > self.settings.late_s or not machine.reached
             for machine in heard
@@ -497,12 +497,12 @@
 
     def _deleted(self, machines: list[str]) -> None:
         for name in machines:
-            machine = self.yard.machines.get(name)
+            machine = self.registry.machines.get(name)
             if machine is not None:
-                lost = self.yard.lose(machine)
+                lost = self.registry.lose(machine)
                 if lost:
                     log.info("%s is deleted: %d tasks come back", name, len(lost))
-                del self.yard.machines[name]
+                del self.registry.machines[name]
             self.health.forget_machine(name)
             self.tables.deleted.add(name)
             if name in self.tables.machines:
@@ -511,7 +511,7 @@
 
     def _register(self) -> None:
         """Stores machines before anything is started on them, so that a later owner knows of them."""
-        names, writes = self.registration.rows_to_store(list(self.yard.machines.values()))
+        names, writes = self.registration.rows_to_store(list(self.registry.machines.values()))
         if writes and self.group is not None:
             self.registration.arriving |= names
             self.group.start_soon(self.registration.store, names, writes, self.seen_view)
@@ -524,14 +524,14 @@
             if waiting and not self._on_machine(name):
                 self._release(name, waiting)
         over: dict[str, Job | None] = {}
-        for name in self.yard.placed:
+        for name in self.registry.placed:
             record = self.tables.jobs.get(name)
             if record is None or record.cancelled:
                 over[name] = record
         if not over:
             return
         now = self.now()
-        for machine in self.yard.machines.values():
+        for machine in self.registry.machines.values():
             for attempt in list(machine.attempts.values()):
                 if attempt.job in over:
                     self._kill(machine, attempt, 0.0)
@@ -539,7 +539,9 @@
                         self._note_cancelled(machine, attempt, over[attempt.job], now)
 
     def _on_machine(self, job: str) -> bool:
-        return any(key[0].startswith(job + "/") for machine in self.yard.machines.values() for key in machine.unwanted)
+        return any(
+            key[0].startswith(job + "/") for machine in self.registry.machines.values() for key in machine.unwanted
+        )
 
     def _note_cancelled(self, machine: Machine, attempt: Attempt, job: Job | None, now: float) -> None:
         """A task of a cancelled job may be on the machine: since when a user may have been told, by our own clock.
@@ -551,7 +553,7 @@
         machine.cancelled_since = min(since, now if machine.cancelled_since is None else machine.cancelled_since)
 
     def _kill(self, machine: Machine, attempt: Attempt, grace_s: float) -> None:
-        if self.yard.kill(machine, attempt, grace_s) and machine.heard:
+        if self.registry.kill(machine, attempt, grace_s) and machine.heard:
             assert self.group is not None
             self.group.start_soon(self._command, machine)
 
@@ -579,9 +581,9 @@
     async def _send_orders(self, machine: Machine) -> None:
         session = machine.session or 1
         for _ in range(2):
-            if not self.standing.may_answer or self.yard.machines.get(machine.name) is not machine:
+            if not self.standing.may_answer or self.registry.machines.get(machine.name) is not machine:
                 return
-            orders = self.yard.orders(machine, self.tables, None) if machine.heard else []
+            orders = self.registry.orders(machine, self.tables, None) if machine.heard else []
             body = wire.encode(wire.Orders(self.standing.view.number, orders, session))
             host, _, port = machine.address.rpartition(":")
             client = Client(Address(host, int(port)), most_idle=0)
@@ -589,7 +591,7 @@
             if reply.status not in (200, 409):
                 return
             report = wire.decode(reply.body, wire.Report)
-            self.tell(Direct(report))
+            self.tell(CommandReply(report))
             if reply.status == 200 or report.session == session:
                 return
             session = report.session
@@ -601,8 +603,8 @@
         kind = self.tables.types.get(machine.type)
         if (
             kind is None
-            or self.yard.free_cores(machine, kind) + quota.SLACK < self.least_cores
-            or not self.yard.usable(machine)
+            or self.registry.free_cores(machine, kind) + quota.SLACK < self.least_cores
+            or not self.registry.usable(machine)
             # A machine that misses its reports gets nothing new. Guards against one that answers commands and cannot
             # report: it was given work again and again, which was taken back when no report came to be answered.
             or machine.reported_at is None
@@ -611,12 +613,12 @@
             or self.health.machine_faulty(machine.name)
         ):
             return None
-        room = self.yard.room(machine, kind)
+        room = self.registry.room(machine, kind)
         room.scarce = machine.type in self.scarce
         return room
 
     def _rooms(self, now: float) -> list[placement.Room]:
-        rooms = (self._room(machine, now) for machine in self.yard.machines.values())
+        rooms = (self._room(machine, now) for machine in self.registry.machines.values())
         return [room for room in rooms if room is not None]
 
     def _usable(self, job: str, rooms: list[placement.Room]) -> list[placement.Room]:
@@ -705,7 +707,7 @@
         self.waiting_since[name] = now
         number = self._number()
         for index, room in placed:
-            self.yard.start(self.yard.machines[room.machine], name, index, number, job.spec, now)
+            self.registry.start(self.registry.machines[room.machine], name, index, number, job.spec, now)
         if log.isEnabledFor(logging.DEBUG):
             log.debug("%s: %d tasks on %s", name, len(placed), {room.machine for _, room in placed})
             if job.spec.awaits and not job.progress.done:
@@ -726,7 +728,7 @@
             if rooms is None:
                 rooms = self._scarce_rooms()
             fitting = [
-                (room, self.yard.machines[room.machine].attempts.values())
+                (room, self.registry.machines[room.machine].attempts.values())
                 for room in self._usable(job.spec.id, list(rooms.values()))
                 if placement.allowed(job.spec, room) and fits_type(job.spec, self.tables.types[room.type])
             ]
@@ -736,7 +738,7 @@
             self.held[chosen.machine] = (job.spec.id, now + self.settings.lease_s)
             del rooms[chosen.machine]
             log.info("%s: %d tasks of lower priority stop on %s", job.spec.id, len(chosen.attempts), chosen.machine)
-            machine = self.yard.machines[chosen.machine]
+            machine = self.registry.machines[chosen.machine]
             for attempt in chosen.attempts:
                 self._kill(machine, attempt, attempt.spec.save_s)
 
@@ -767,10 +769,10 @@
     def _scarce_rooms(self) -> dict[str, placement.Room]:
         """What is free on machines of types that some live job fits and others not, by machine."""
         return {
-            machine.name: self.yard.room(machine, self.tables.types[machine.type])
-            for machine in self.yard.machines.values()
+            machine.name: self.registry.room(machine, self.tables.types[machine.type])
+            for machine in self.registry.machines.values()
             if machine.type in self.scarce and machine.type in self.tables.types
-            and self.yard.usable(machine) and machine.name in self.tables.machines
+            and self.registry.usable(machine) and machine.name in self.tables.machines
         }  # fmt: skip
 
     def _number(self) -> int:
@@ -782,7 +784,7 @@
 
     def _use(self, team: str) -> quota.Use:
         """What tasks of the team that may exist under this controller's responsibility use."""
-        use = self.yard.uses.get(team, quota.Use())
+        use = self.registry.uses.get(team, quota.Use())
         limbo = self.limbo_uses.get(team, quota.Use())
         return quota.Use(use.cores + limbo.cores, use.gpus + limbo.gpus)
 
@@ -812,7 +814,9 @@
             assert self.group is not None
             self.group.start_soon(self._ask_for, request)
 
-    def _request_allowances(self, request: Steal, useful: dict[str, quota.Use], controllers: int, now: float) -> None:
+    def _request_allowances(
+        self, request: ClaimRequest, useful: dict[str, quota.Use], controllers: int, now: float
+    ) -> None:
         """Adds the allowances to ask for, given what each team could put to use on these machines."""
         # Some changes of a round are left for claims.
         max_teams = max(1, min(self.client.txn_ops // 2, self.client.most_changes(Urgency.CLAIM) - 1))
@@ -844,7 +848,7 @@
     def _cores_ahead(self) -> float:
         """Cores likely to fall free on this controller's machines in the time that a claim takes."""
         cores = 0.0
-        for name, mask in self.yard.placed.items():
+        for name, mask in self.registry.placed.items():
             job = self.tables.jobs.get(name)
             if job is not None:
                 share = self.ahead_s / max(job.spec.estimate_s, self.ahead_s)
@@ -866,15 +870,15 @@
             if spec.team in spare and quota.room_for(spec, spare[spec.team], uses[spec.team]) > 0
         ]  # fmt: skip
 
-    async def _ask_for(self, steal: Steal) -> None:
+    async def _ask_for(self, request: ClaimRequest) -> None:
         try:
-            await self.jobs.ask(steal)
+            await self.jobs.ask(request)
         except InboxFullError:
             pass
         finally:
             # Claimed anew, so not being released any more. Found on the bench: tasks were released and claimed
             # again between two ticks, counted as on their way to others, and were never run by anybody.
-            for name, tasks in steal.gained.items():
+            for name, tasks in request.gained.items():
                 if name in self.releasing:
                     self.releasing[name] &= ~tasks
             self.requesting = False
--- a/sloeswitch/actors/membership.py
+++ b/sloeswitch/actors/membership.py
@@ -40,7 +40,7 @@
     was *sent*. `may_answer`: besides, while every sibling confirms over the mesh that it knows of no
     newer view and has told us all cancellations that its users may know; that keeps workers alive through
     an outage of the state service. A sibling that becomes a new owner waits one controller lease longer
-    than its confirmation could matter (see yard).
+    than its confirmation could matter (see registry).
     """
 
     def __init__(self, settings: Settings, tables: t.Tables, replica: Replica, now: Callable[[], float]) -> None:
--- a/sloeswitch/actors/registration.py
+++ b/sloeswitch/actors/registration.py
@@ -11,8 +11,8 @@
 from sloeswitch import wire
 from sloeswitch.actors.membership import Standing
 from sloeswitch.core import tables as t
+from sloeswitch.core.registry import Machine
 from sloeswitch.core.tables import Tables
-from sloeswitch.core.yard import Machine
 from sloeswitch.settings import Settings
 from sloeswitch.state import Replica, StateClient, Urgency
 
--- a/sloeswitch/actors/users.py
+++ b/sloeswitch/actors/users.py
@@ -8,7 +8,7 @@
 from sloeswitch import wire
 from sloeswitch.actors.base import InboxFullError
 from sloeswitch.actors.jobs import Jobs
-from sloeswitch.actors.machines import Beat, Machines
+from sloeswitch.actors.machines import Heartbeat, Machines
 from sloeswitch.actors.membership import Standing
 from sloeswitch.core.quota import impossible
 from sloeswitch.http import Answer, Request, refuse
@@ -52,7 +52,7 @@
         path = request.path.partition("?")[0]
         parts = path.strip("/").split("/")
         if path == "/agent/beat":
-            return await self._only("POST", request) or await self._beat(request)
+            return await self._only("POST", request) or await self._heartbeat(request)
         if path == "/healthz":
             return await self._only("GET", request) or self._healthz()
         if path == "/submissions":
@@ -184,7 +184,7 @@
             return fault(404, "no such job")
         return Answer(200, wire.submission_reply(name, status))
 
-    async def _beat(self, request: Request) -> Answer:
+    async def _heartbeat(self, request: Request) -> Answer:
         try:
             report = wire.decode(request.body, wire.Report)
         except wire.MalformedError as error:
@@ -193,7 +193,7 @@
         # A report on the same connection, as soon as the next one is due, shows that the last answer was
         # received. One that was held up on the way shows nothing of the kind.
         received = self.client.now() - request.talk.get(report.machine, -math.inf) < 2 * self.settings.report_s
-        answer: Answer | None = await self.machines.ask(Beat(report=report, received=received))
+        answer: Answer | None = await self.machines.ask(Heartbeat(report=report, received=received))
         if answer is None:
             return refuse(self.retry_s)
         if answer.status == 200:
--- a/sloeswitch/core/preemption.py
+++ b/sloeswitch/core/preemption.py
@@ -7,8 +7,8 @@
 
 from sloeswitch.core.placement import Room
 from sloeswitch.core.ready import RANK, urgency
+from sloeswitch.core.registry import Attempt
 from sloeswitch.core.tables import Job
-from sloeswitch.core.yard import Attempt
 from sloeswitch.wire import JobSpec
 
 
--- a/sloeswitch/core/yard.py
+++ b/sloeswitch/core/registry.py
@@ -2,7 +2,7 @@
 
 The rules that keep a task from running twice live here:
 - a machine is *heard* once it reported under the present view's token;
-- a start counts as not carried out only when a later *beat* lacks it: an answer to a beat may still
+- a start counts as not carried out only when a later *heartbeat* lacks it: an answer to a heartbeat may still
   arrive while the reply to a direct command overtakes it;
 - a silent machine's tasks count as existing until its lease is surely over or it is deleted;
 - a report of a session that is surely over, however late it comes, says nothing any more.
@@ -114,7 +114,7 @@
     freed: bool = False
 
 
-class Yard:
+class MachineRegistry:
     """All machines that this controller owns under the present view."""
 
     def __init__(self) -> None:
@@ -255,7 +255,7 @@
 
     # -- reports
 
-    def hear(self, machine: Machine, report: Report, beat: bool, now: float, token: int, tables: Tables) -> Heard:
+    def hear(self, machine: Machine, report: Report, heartbeat: bool, now: float, token: int, tables: Tables) -> Heard:
         heard = Heard()
         if self.is_late(machine, report):
             return heard  # something newer is known
@@ -292,14 +292,14 @@
         machine.session, machine.serial = report.session, report.serial
         machine.heard, machine.accounted = True, True
         machine.heard_at = now
-        if beat or machine.reported_at is None:
+        if heartbeat or machine.reported_at is None:
             machine.reported_at = now
         machine.notice_s = report.notice_s
         machine.address = report.address
         if same != len(machine.attempts):
             for attempt in list(machine.attempts.values()):
                 if attempt.key not in kept:
-                    self._missing(machine, attempt, beat, report.serial, heard)
+                    self._missing(machine, attempt, heartbeat, report.serial, heard)
             for attempt, item in changed:
                 self._progressed(machine, attempt, item.state, item.cause, now, heard)
         if machine.exited:
@@ -320,12 +320,12 @@
             or (report.session, report.serial) <= (machine.session, machine.serial)
         )  # fmt: skip
 
-    def _missing(self, machine: Machine, attempt: Attempt, beat: bool, serial: int, heard: Heard) -> None:
+    def _missing(self, machine: Machine, attempt: Attempt, heartbeat: bool, serial: int, heard: Heard) -> None:
         """An attempt that a report lacks."""
         if attempt.seen:
             self.drop(machine, attempt)
             heard.freed = True
-        elif beat and attempt.sent_serial is not None and serial > attempt.sent_serial:
+        elif heartbeat and attempt.sent_serial is not None and serial > attempt.sent_serial:
             attempt.sent_serial = None  # the answer that carried it was dropped: tell it again
             if attempt.kill_grace_s is not None:
                 self.drop(machine, attempt)
@@ -390,7 +390,7 @@
     # -- orders
 
     def orders(self, machine: Machine, tables: Tables, serial: int | None) -> list[Order]:
-        """What to tell the machine. `serial`: of the beat that is answered; None for a direct command,
+        """What to tell the machine. `serial`: of the heartbeat that is answered; None for a direct command,
         which carries no start, since it could be carried out minutes late."""
         orders = []
         for key, completed in machine.exited.items():
--- a/sloeswitch/core/zones.py
+++ b/sloeswitch/core/zones.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from sloeswitch.core.yard import Machine
+from sloeswitch.core.registry import Machine
 
 # A zone looks cut off when at least this part of its machines fell silent together, and there are so many.
 SILENT_SHARE = 0.75
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -10,8 +10,8 @@
 import pytest
 
 from sloeswitch import controller, wire
-from sloeswitch.actors.jobs import Jobs, Learnt, Steal
-from sloeswitch.actors.machines import Beat, Machines
+from sloeswitch.actors.jobs import ClaimRequest, Jobs, Learnt
+from sloeswitch.actors.machines import Heartbeat, Machines
 from sloeswitch.actors.membership import Membership, Standing
 from sloeswitch.core import tables as t
 from sloeswitch.mesh import Mesh
@@ -114,9 +114,9 @@
     async def read(self, timeout_s: float) -> None:
         return None
 
-    def beat(self, heard: wire.Report) -> wire.Orders:
+    def heartbeat(self, heard: wire.Report) -> wire.Orders:
         """What the machine is answered, which is seen to have received the answer before."""
-        message = Beat(report=heard, received=True)
+        message = Heartbeat(report=heard, received=True)
         anyio.run(self.machines.handle, message)
         assert message.answer.status == 200, message.answer
         return wire.decode(message.answer.body, wire.Orders)
@@ -124,22 +124,22 @@
     def tell_jobs(self, learnt: Learnt) -> None:
         anyio.run(self.jobs.handle, learnt)
 
-    def round(self, steal: Steal | None = None) -> None:
+    def round(self, request: ClaimRequest | None = None) -> None:
         async def once() -> None:
-            if steal is not None:
-                await self.jobs.handle(steal)
+            if request is not None:
+                await self.jobs.handle(request)
             await self.jobs._round()
 
         anyio.run(once)
         self.machines._line_up()
         self.machines._place_waiting()
 
-    def steal(self) -> list[Steal]:
+    def claim_requests(self) -> list[ClaimRequest]:
         """What the machines actor asks the jobs actor for."""
-        asked: list[Steal] = []
+        asked: list[ClaimRequest] = []
 
-        async def ask(steal: Steal) -> None:
-            asked.append(steal)
+        async def ask(request: ClaimRequest) -> None:
+            asked.append(request)
             self.machines.requesting = False
 
         self.machines._ask_for = ask  # type: ignore[method-assign]
@@ -169,25 +169,25 @@
 
 def machine_up(world: World) -> None:
     world.store.put(t.machine_key("vm-1"), {"a": "127.0.0.1:9000", "t": "small", "z": "a", "s": True})
-    world.beat(report(1, 0))
-    world.beat(report(2, 3))
+    world.heartbeat(report(1, 0))
+    world.heartbeat(report(2, 3))
 
 
 def test_claim_and_allowance_are_stored_before_any_start(world: World) -> None:
     machine_up(world)
     world.store.job(spec())
-    assert world.beat(report(3, 3)).orders == []
-    world.round(Steal(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
+    assert world.heartbeat(report(3, 3)).orders == []
+    world.round(ClaimRequest(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
     assert world.store.tables.jobs[JOB].progress.claims == {"c0.1": 0b1111}
     assert world.store.tables.allowances["red"] == {"c0.1": (8.0, 0.0)}
-    assert [order.verb for order in world.beat(report(4, 3)).orders] == ["start"] * 4
+    assert [order.verb for order in world.heartbeat(report(4, 3)).orders] == ["start"] * 4
 
 
 def test_claimed_tasks_start_only_within_the_allowance(world: World) -> None:
     machine_up(world)
     world.store.job(spec())
-    world.round(Steal(wants={JOB: 4}, grow={"red": (5.0, 0.0)}))
-    assert len(world.beat(report(3, 3)).orders) == 2
+    world.round(ClaimRequest(wants={JOB: 4}, grow={"red": (5.0, 0.0)}))
+    assert len(world.heartbeat(report(3, 3)).orders) == 2
 
 
 def test_an_old_view_claims_nothing(world: World) -> None:
@@ -195,14 +195,14 @@
     standing_view = world.standing.claim_conditions()
     world.store.view(4, ("c0", 1), ("c1", 2))
     world.standing.claim_conditions = lambda: standing_view  # type: ignore[method-assign]
-    world.round(Steal(wants={JOB: 4}))
+    world.round(ClaimRequest(wants={JOB: 4}))
     assert world.store.tables.jobs[JOB].progress.claims == {}
 
 
 def test_nothing_is_claimed_outside_the_lease(world: World) -> None:
     world.store.job(spec())
     world.clock.time += world.settings.controller_lease_s
-    world.round(Steal(wants={JOB: 4}))
+    world.round(ClaimRequest(wants={JOB: 4}))
     assert world.store.tables.jobs[JOB].progress.claims == {}
 
 
@@ -210,13 +210,13 @@
     machine_up(world)
     mesh = meshed(world)
     world.clock.time += world.settings.controller_lease_s
-    refused = Beat(report=report(3, 3))
+    refused = Heartbeat(report=report(3, 3))
     anyio.run(world.machines.handle, refused)
     assert refused.answer.status == 503
     mesh.peers["c1"].asked_at, mesh.peers["c1"].view, mesh.peers["c1"].whole = world.clock.time, 3, True
-    world.beat(report(4, 3))
+    world.heartbeat(report(4, 3))
     mesh.peers["c1"].view = 4
-    refused = Beat(report=report(5, 3))
+    refused = Heartbeat(report=report(5, 3))
     anyio.run(world.machines.handle, refused)
     assert refused.answer.status == 503
 
@@ -225,26 +225,26 @@
     machine_up(world)
     world.store.job(spec())
     world.client.lose_answers = 1
-    world.round(Steal(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
-    assert world.beat(report(3, 3)).orders == []
+    world.round(ClaimRequest(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
+    assert world.heartbeat(report(3, 3)).orders == []
     world.client.apply(*world.client.late[0])
     world.machines._place_waiting()
-    assert len(world.beat(report(4, 3)).orders) == 4
+    assert len(world.heartbeat(report(4, 3)).orders) == 4
 
 
 def test_completion_between_telling_and_storing_is_not_started_again(world: World) -> None:
     """Failure found on the bench: a task that had ended looked like work handed back."""
     machine_up(world)
     world.store.job(spec(visits=1))
-    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
-    start = world.beat(report(3, 3)).orders[0]
-    answer = world.beat(report(4, 3, (start.task, start.attempt, "ended", "done")))
+    world.round(ClaimRequest(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    start = world.heartbeat(report(3, 3)).orders[0]
+    answer = world.heartbeat(report(4, 3, (start.task, start.attempt, "ended", "done")))
     assert answer.orders == []  # neither a start nor, before it is stored, a clear
     world.tell_jobs(Learnt(done={JOB: 1}))
     world.clock.time += 1.0
     world.round()
     assert world.store.tables.over[JOB][:2] == (t.DONE, 1)
-    cleared = world.beat(report(5, 3, (start.task, start.attempt, "ended", "done")))
+    cleared = world.heartbeat(report(5, 3, (start.task, start.attempt, "ended", "done")))
     assert [order.verb for order in cleared.orders] == ["clear"]
 
 
@@ -253,7 +253,7 @@
     world.store.job(spec(visits=2000, cores=0.001, memoryGb=0.0))
     world.store.progress(JOB, c1_9=(1 << 2000) - 1)
     ended = [(f"{JOB}/{index}", 5, "ended", "done") for index in range(2000)]
-    world.beat(report(3, 3, *ended))
+    world.heartbeat(report(3, 3, *ended))
     assert len(world.jobs._inbox) == 1
 
 
@@ -276,18 +276,18 @@
 def test_cancelled_task_is_killed_and_its_claim_given_up_once_it_is_gone(world: World) -> None:
     machine_up(world)
     world.store.job(spec(visits=1))
-    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
-    start = world.beat(report(3, 3)).orders[0]
-    world.beat(report(4, 3, (start.task, start.attempt, "running")))
+    world.round(ClaimRequest(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    start = world.heartbeat(report(3, 3)).orders[0]
+    world.heartbeat(report(4, 3, (start.task, start.attempt, "running")))
     assert anyio.run(world.jobs.cancel, JOB) == wire.CANCELLED
-    machine = world.machines.yard.machines["vm-1"]
+    machine = world.machines.registry.machines["vm-1"]
     machine.heard = False  # no direct command in this test
     world.machines._stop_cancelled()
     machine.heard = True
-    orders = world.beat(report(5, 3, (start.task, start.attempt, "running"))).orders
+    orders = world.heartbeat(report(5, 3, (start.task, start.attempt, "running"))).orders
     assert [order.verb for order in orders] == ["kill"]
     assert world.store.tables.jobs[JOB].progress.claims == {"c0.1": 0b1}
-    world.beat(report(6, 3, (start.task, start.attempt, "ended", "halted")))
+    world.heartbeat(report(6, 3, (start.task, start.attempt, "ended", "halted")))
     world.machines._stop_cancelled()
     world.tell_jobs(world.machines.learnt)
     world.clock.time += 1.0
@@ -305,7 +305,7 @@
 
     world.store.view(4, ("c0", 1), ("c1", 2))
     name = next(f"vm-{n}" for n in range(100) if owner(f"vm-{n}", world.store.tables.view.members) == "c1")
-    message = Beat(report=report(1, 0, name=name))
+    message = Heartbeat(report=report(1, 0, name=name))
     anyio.run(world.machines.handle, message)
     assert (message.answer.status, message.answer.body) == (421, b'{"foreman":"c1"}')
 
@@ -315,13 +315,13 @@
     world.store.put(t.team_key("red"), {"c0.1": [20.0, 0.0]})
     world.machines.shrinking["red"] = (world.store.tables.stamp(t.team_key("red")), 4.0, 0.0)
     assert world.machines._allowance("red") == (4.0, 0.0)
-    world.round(Steal(grow={"red": (12.0, 0.0)}, rewrite={"red"}))
+    world.round(ClaimRequest(grow={"red": (12.0, 0.0)}, rewrite={"red"}))
     assert world.machines._allowance("red") == (20.0, 0.0)
 
 
 def test_malformed_report_is_refused(world: World) -> None:
     machine_up(world)
-    message = Beat(report=report(3, 3, ("nonsense", 1, "running")))
+    message = Heartbeat(report=report(3, 3, ("nonsense", 1, "running")))
     anyio.run(world.machines.handle, message)
     assert message.answer.status == 400
 
@@ -329,25 +329,25 @@
 def test_last_tasks_that_save_move_off_a_machine_that_is_not_needed(world: World) -> None:
     machine_up(world)
     world.store.job(spec(visits=1, snapshotS=30.0, stashS=6.0))
-    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
-    start = world.beat(report(3, 3)).orders[0]
-    world.beat(report(4, 3, (start.task, start.attempt, "running")))
-    spared = world.machines.yard.machines["vm-1"]
+    world.round(ClaimRequest(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    start = world.heartbeat(report(3, 3)).orders[0]
+    world.heartbeat(report(4, 3, (start.task, start.attempt, "running")))
+    spared = world.machines.registry.machines["vm-1"]
     (attempt,) = spared.attempts.values()
     spared.spared = True
     world.clock.time += 2.0
-    world.beat(report(5, 3, (start.task, start.attempt, "running")))
+    world.heartbeat(report(5, 3, (start.task, start.attempt, "running")))
     attempt.running_at = world.clock.time - 61.0
     spared.heard = False  # no direct command in this test
     world.machines._empty_spared(world.clock.time)
     assert attempt.kill_grace_s is None  # there is no room elsewhere
-    world.beat(report(1, 0, name="vm-2"))
+    world.heartbeat(report(1, 0, name="vm-2"))
     world.store.put(t.machine_key("vm-2"), {"a": "127.0.0.1:9001", "t": "small", "z": "a", "s": True})
-    world.beat(report(2, 3, name="vm-2"))
+    world.heartbeat(report(2, 3, name="vm-2"))
     spared.heard = False
     world.machines._empty_spared(world.clock.time)
     assert attempt.kill_grace_s == 6.0
-    assert world.machines.yard.placed[JOB] == 0b1  # until it is reported gone
+    assert world.machines.registry.placed[JOB] == 0b1  # until it is reported gone
 
 
 def test_cancelled_jobs_end_within_the_limit_of_a_transaction(world: World) -> None:
@@ -385,14 +385,14 @@
     kits = {world.standing.owner(f"image img-{number}"): f"img-{number}" for number in range(20)}
     name = next(f"vm-{number}" for number in range(9) if world.standing.owner(f"vm-{number}") == "c0")
     world.store.put(t.machine_key(name), {"a": "127.0.0.1:9000", "t": "small", "z": "a", "s": True})
-    world.beat(report(9, 3, name=name))
-    world.beat(report(10, 4, name=name))
+    world.heartbeat(report(9, 3, name=name))
+    world.heartbeat(report(10, 4, name=name))
     world.store.job(spec("wk-000001", kit=kits["c1"], visits=1))
     world.store.job(spec("wk-000002", kit=kits["c0"], visits=1))
     world.machines._line_up()
-    assert [set(steal.wants) for steal in world.steal()] == [{"wk-000002"}]
+    assert [set(request.wants) for request in world.claim_requests()] == [{"wk-000002"}]
     world.clock.time += 2 * world.machines.pace_s
-    assert [set(steal.wants) for steal in world.steal()] == [{"wk-000001", "wk-000002"}]
+    assert [set(request.wants) for request in world.claim_requests()] == [{"wk-000001", "wk-000002"}]
 
 
 def test_leases_are_reckoned_by_a_clock_that_runs_on_within_a_turn_of_the_loop() -> None:
@@ -415,7 +415,7 @@
         await world.jobs._round()
         assert not world.store.tables.jobs[JOB].progress.claims
         async with anyio.create_task_group() as group:
-            group.start_soon(world.machines._ask_for, Steal(wants={JOB: 2}))
+            group.start_soon(world.machines._ask_for, ClaimRequest(wants={JOB: 2}))
             await anyio.wait_all_tasks_blocked()
             await world.jobs.handle(world.jobs._inbox.popleft())
             await world.jobs._round()
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -13,8 +13,8 @@
 from sloeswitch import wire
 from sloeswitch.actors.base import BATCH, Actor, InboxFullError
 from sloeswitch.actors.fleet import Fleet
-from sloeswitch.actors.jobs import Steal
-from sloeswitch.actors.machines import Beat
+from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.machines import Heartbeat
 from sloeswitch.actors.users import Users
 from sloeswitch.core import ready
 from sloeswitch.core import tables as t
@@ -36,8 +36,8 @@
     yield world
 
 
-def beat(world: World, heard: wire.Report, received: bool = True) -> Any:
-    message = Beat(report=heard, received=received)
+def heartbeat(world: World, heard: wire.Report, received: bool = True) -> Any:
+    message = Heartbeat(report=heard, received=received)
     anyio.run(world.machines.handle, message)
     return message.answer
 
@@ -55,9 +55,9 @@
 def running(world: World) -> tuple[str, int]:
     """One task of a job runs on vm-1, as its report 4 tells."""
     world.store.job(spec(visits=1))
-    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
-    start = world.beat(report(3, 3)).orders[0]
-    world.beat(report(4, 3, (start.task, start.attempt, "running")))
+    world.round(ClaimRequest(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    start = world.heartbeat(report(3, 3)).orders[0]
+    world.heartbeat(report(4, 3, (start.task, start.attempt, "running")))
     return start.task, start.attempt
 
 
@@ -103,10 +103,10 @@
     job, again = ready.order(world.store.tables, world.settings, int((PATIENCE_LEASES * LEASE_S + 1) * 1000))
     assert job is again and job.beginning
     world.machines.line = [job]
-    assert world.steal()[0].wants == {JOB: 2}
+    assert world.claim_requests()[0].wants == {JOB: 2}
     # In its ordinary place it gets what room is left.
     world.machines.line = [job, job]
-    assert world.steal()[0].wants == {JOB: 16}
+    assert world.claim_requests()[0].wants == {JOB: 16}
 
 
 def test_a_job_claimed_and_placed_nowhere_has_not_begun(world: World) -> None:
@@ -122,38 +122,38 @@
 
 def test_no_start_is_told_to_a_machine_not_seen_to_have_received_an_answer(world: World) -> None:
     world.store.job(spec())
-    world.round(Steal(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
-    assert verbs(beat(world, report(3, 3), received=False)) == []
-    assert verbs(beat(world, report(4, 3), received=True)) == ["start"] * 4
+    world.round(ClaimRequest(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
+    assert verbs(heartbeat(world, report(3, 3), received=False)) == []
+    assert verbs(heartbeat(world, report(4, 3), received=True)) == ["start"] * 4
 
 
 def test_what_was_never_sent_goes_elsewhere_and_what_was_sent_counts_as_present(world: World) -> None:
     task = running(world)
-    machine = world.machines.yard.machines["vm-1"]
+    machine = world.machines.registry.machines["vm-1"]
     world.store.job(spec("wk-000002", visits=2))
-    world.round(Steal(wants={"wk-000002": 2}, grow={"red": (8.0, 0.0)}))
-    assert world.machines.yard.placed["wk-000002"] == 0b11
-    beat(world, report(5, 3, (*task, "running")), received=False)
+    world.round(ClaimRequest(wants={"wk-000002": 2}, grow={"red": (8.0, 0.0)}))
+    assert world.machines.registry.placed["wk-000002"] == 0b11
+    heartbeat(world, report(5, 3, (*task, "running")), received=False)
     world.machines._watch_over(machine, world.clock.time)
-    assert "wk-000002" not in world.machines.yard.placed  # to be placed again
-    assert world.machines.yard.placed[JOB] == 0b1
+    assert "wk-000002" not in world.machines.registry.placed  # to be placed again
+    assert world.machines.registry.placed[JOB] == 0b1
     # Its reports go on, so its lease may be alive: it counts until it is reported gone.
     later(world, 2.0)
-    beat(world, report(9, 3, (*task, "running")), received=False)
+    heartbeat(world, report(9, 3, (*task, "running")), received=False)
     world.machines._watch_over(machine, world.clock.time)
-    assert world.machines.yard.placed[JOB] == 0b1
-    beat(world, report(10, 3, session=2), received=False)
-    assert JOB not in world.machines.yard.placed
+    assert world.machines.registry.placed[JOB] == 0b1
+    heartbeat(world, report(10, 3, session=2), received=False)
+    assert JOB not in world.machines.registry.placed
 
 
 def test_a_machine_that_nothing_reaches_is_returned_after_two_leases(world: World) -> None:
-    machine = world.machines.yard.machines["vm-1"]
+    machine = world.machines.registry.machines["vm-1"]
     returned: list[str] = []
     world.machines._return = lambda machine, why, pressing=False: returned.append(why)  # type: ignore[method-assign]
     serial = 3
     for _ in range(int(2.5 * LEASE_S)):
         later(world, 1.0)
-        beat(world, report(serial, 3), received=serial < 5)
+        heartbeat(world, report(serial, 3), received=serial < 5)
         serial += 1
         world.machines._watch_over(machine, world.clock.time)
         assert bool(returned) == (world.clock.time - machine.reached_at > 2 * LEASE_S)
@@ -164,7 +164,7 @@
     users = Users(world.settings, world.client, world.replica, world.standing, world.jobs, world.machines)
     seen: list[bool] = []
 
-    async def ask(message: Beat) -> Answer:
+    async def ask(message: Heartbeat) -> Answer:
         seen.append(message.received)
         return Answer(200)
 
@@ -187,64 +187,64 @@
 
 def test_a_late_copy_renews_no_lease_and_is_answered_no_orders(world: World) -> None:
     running(world)
-    machine = world.machines.yard.machines["vm-1"]
+    machine = world.machines.registry.machines["vm-1"]
     gone_at = machine.gone_at
     later(world, 5.0)
-    assert beat(world, report(3, 3)).status == 503
+    assert heartbeat(world, report(3, 3)).status == 503
     assert machine.gone_at == gone_at and machine.heard_at < world.clock.time
-    assert world.machines.yard.placed[JOB] == 0b1
+    assert world.machines.registry.placed[JOB] == 0b1
 
 
 def test_a_report_held_up_beyond_its_lease_revives_nothing(world: World) -> None:
     task = running(world)
-    machine = world.machines.yard.machines["vm-1"]
+    machine = world.machines.registry.machines["vm-1"]
     later(world, machine.gone_at + 0.1 - world.clock.time)
     world.machines._watch_over(machine, world.clock.time)
-    assert JOB not in world.machines.yard.placed
+    assert JOB not in world.machines.registry.placed
     # A number never seen, of the session that is over: the task may run elsewhere by now.
-    assert beat(world, report(99, 3, (*task, "running"))).status == 503
-    assert JOB not in world.machines.yard.placed and not machine.heard
-    assert beat(world, report(100, 3, session=2), received=False).status == 200
+    assert heartbeat(world, report(99, 3, (*task, "running"))).status == 503
+    assert JOB not in world.machines.registry.placed and not machine.heard
+    assert heartbeat(world, report(100, 3, session=2), received=False).status == 200
     assert machine.heard and not machine.reached
 
 
 def test_a_copy_of_an_earlier_session_says_nothing(world: World) -> None:
     task = running(world)
-    beat(world, report(1, 3, session=2))
-    assert JOB not in world.machines.yard.placed
-    assert beat(world, report(50, 3, (*task, "running"))).status == 503
-    assert JOB not in world.machines.yard.placed
+    heartbeat(world, report(1, 3, session=2))
+    assert JOB not in world.machines.registry.placed
+    assert heartbeat(world, report(50, 3, (*task, "running"))).status == 503
+    assert JOB not in world.machines.registry.placed
 
 
 def test_a_task_that_turns_up_after_its_machine_was_accounted_for_is_stopped_not_adopted(world: World) -> None:
     world.store.job(spec(visits=1))
     world.store.progress(JOB, c1_9=0b1)
-    answer = beat(world, report(3, 3, (f"{JOB}/0", 5, "running")))
-    assert verbs(answer) == ["kill"] and JOB not in world.machines.yard.placed
-    assert not world.machines.yard.adopting
+    answer = heartbeat(world, report(3, 3, (f"{JOB}/0", 5, "running")))
+    assert verbs(answer) == ["kill"] and JOB not in world.machines.registry.placed
+    assert not world.machines.registry.adopting
 
 
 def test_a_copy_is_no_evidence_that_a_start_was_not_carried_out(world: World) -> None:
     world.store.job(spec(visits=1))
-    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
-    assert verbs(beat(world, report(3, 3))) == ["start"]
-    beat(world, report(2, 3))
-    beat(world, report(3, 3))
-    (attempt,) = world.machines.yard.machines["vm-1"].attempts.values()
+    world.round(ClaimRequest(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    assert verbs(heartbeat(world, report(3, 3))) == ["start"]
+    heartbeat(world, report(2, 3))
+    heartbeat(world, report(3, 3))
+    (attempt,) = world.machines.registry.machines["vm-1"].attempts.values()
     assert attempt.sent_serial == 3
 
 
 def test_a_copy_from_a_deleted_machine_is_refused_also_after_a_restart(world: World) -> None:
     world.store.put(t.machine_key("vm-1"), None)
-    assert beat(world, report(9, 3)).status == 503
+    assert heartbeat(world, report(9, 3)).status == 503
     # A restarted controller does not remember it; the copy bears an earlier token and counts for nothing.
     world.store.tables.deleted.clear()
-    world.machines.yard.reset()
+    world.machines.registry.reset()
     world.store.view(4, ("c0", 1))
     world.machines.seen_view = 0
-    assert beat(world, report(10, 3)).status == 200
-    machine = world.machines.yard.machines["vm-1"]
-    assert not machine.heard and not world.machines.yard.usable(machine)
+    assert heartbeat(world, report(10, 3)).status == 200
+    machine = world.machines.registry.machines["vm-1"]
+    assert not machine.heard and not world.machines.registry.usable(machine)
 
 
 # -- a controller without state service and siblings
@@ -260,7 +260,7 @@
 
 def test_a_cut_off_controller_sends_workers_and_users_elsewhere_at_once(world: World) -> None:
     users = cut_off(world)
-    assert beat(world, report(9, 3)).status == 503
+    assert heartbeat(world, report(9, 3)).status == 503
     asked = [
         Request("GET", "/healthz", b""),
         Request("POST", "/submissions", wire.encode(submission())),
@@ -342,9 +342,9 @@
 def test_a_wave_of_machines_is_one_change(world: World) -> None:
     fresh = [report(1, 0, name=f"vm-{number}") for number in range(100, 140)]
     for heard in fresh:
-        beat(world, heard, received=False)
+        heartbeat(world, heard, received=False)
         heard.serial, heard.token = 2, 3
-        beat(world, heard)
+        heartbeat(world, heard)
     before = world.store.epoch
 
     async def register() -> None:
@@ -392,8 +392,8 @@
 
 def test_machines_are_stored_one_by_one_while_a_controller_knows_no_groups(world: World) -> None:
     world.store.put(t.member_key("c1"), {"boot": 5, "settled": 0})
-    beat(world, report(1, 0, name="vm-9"), received=False)
-    beat(world, report(2, 3, name="vm-9"))
+    heartbeat(world, report(1, 0, name="vm-9"), received=False)
+    heartbeat(world, report(2, 3, name="vm-9"))
 
     async def register() -> None:
         async with anyio.create_task_group() as group:
@@ -451,10 +451,10 @@
 def test_after_a_freeze_nothing_is_answered_claimed_or_settled_on_what_was_known_before(world: World) -> None:
     world.store.job(spec(visits=1))
     world.clock.time += 2 * world.settings.controller_lease_s
-    assert beat(world, report(3, 3)).status == 503
+    assert heartbeat(world, report(3, 3)).status == 503
     assert not world.standing.may_act and not world.standing.coordinating
     epoch = world.store.epoch
-    world.round(Steal(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
+    world.round(ClaimRequest(wants={JOB: 1}, grow={"red": (8.0, 0.0)}))
     assert world.store.epoch == epoch
 
 
@@ -466,9 +466,9 @@
 ) -> None:
     tasks = [(f"{JOB}/{index}", 1, "running") for index in range(300)]
     for serial in range(3, 9):
-        assert beat(world, report(serial, 3, *tasks, ("nonsense", 1, "running"))).status == 400
+        assert heartbeat(world, report(serial, 3, *tasks, ("nonsense", 1, "running"))).status == 400
     assert sum("vm-1" in record.getMessage() for record in caplog.records) == 1
-    assert beat(world, report(9, 3)).status == 200
+    assert heartbeat(world, report(9, 3)).status == 200
 
 
 def test_a_take_over_asks_few_machines_at_once_and_all_in_the_end(world: World) -> None:
@@ -492,7 +492,9 @@
         async with anyio.create_task_group() as group:
             world.machines.group = group
             for number in range(400):
-                machine = world.machines.yard.take(f"vm-{number + 100}", "127.0.0.1:9000", "small", "a", True, 3, 9e9)
+                machine = world.machines.registry.take(
+                    f"vm-{number + 100}", "127.0.0.1:9000", "small", "a", True, 3, 9e9
+                )
                 world.machines._probe(machine, world.clock.time)
             await anyio.wait_all_tasks_blocked()
             go.set()
--- a/tests/test_adoptions.py
+++ b/tests/test_adoptions.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from sloeswitch.actors.jobs import Learnt, Steal
+from sloeswitch.actors.jobs import ClaimRequest, Learnt
 from sloeswitch.core import tables as t
 from sloeswitch.core import taskset
 from sloeswitch.state import Outcome
@@ -105,7 +105,7 @@
     world.tell_jobs(Learnt(adopted=dict.fromkeys(names, 1), view=3))
     for _ in range(8):
         grow = {f"t{number}": (3.0, 0.0) for number in (2, 3)}
-        world.round(Steal(wants={names[2]: 2, names[3]: 2}, grow=grow))
+        world.round(ClaimRequest(wants={names[2]: 2, names[3]: 2}, grow=grow))
     claims = [store.tables.jobs[name].progress.claims for name in names]
     assert all(held.keys() == {"c0.1"} and held["c0.1"] & 1 for held in claims)
     assert all(held["c0.1"].bit_count() > 1 for held in claims[2:4])  # claims are made beside
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sloeswitch.actors.jobs import Learnt, Steal
+from sloeswitch.actors.jobs import ClaimRequest, Learnt
 from sloeswitch.core import tables as t
 from sloeswitch.state import Bucket, Urgency
 from tests.conftest import Store, spec
@@ -52,7 +52,7 @@
         store.job(spec(f"wk-00000{number}"))
     adopted = {f"wk-00000{number}": 0b1 for number in range(1, 7)}
     world.tell_jobs(Learnt(adopted=adopted, view=3))
-    due = world.jobs._due(Steal(wants={"wk-000007": 4, "wk-000008": 4}))
+    due = world.jobs._due(ClaimRequest(wants={"wk-000007": 4, "wk-000008": 4}))
     assert due[0] == "wk-000007" and due[2] == "wk-000008" and set(adopted) <= set(due)
 
 
@@ -72,10 +72,10 @@
 def surplus_given_up(world: World, allowances: dict[str, list[float]]) -> dict[str, float]:
     """What a controller with 8 cores in use gives up of its allowance after a while, by team."""
     world.store.put(t.team_key("red"), allowances)
-    asked = world.steal()
+    asked = world.claim_requests()
     world.clock.time += 3 * world.settings.report_s
-    asked += world.steal()
-    return {team: cores for steal in asked for team, (_, cores, _) in steal.shrink.items()}
+    asked += world.claim_requests()
+    return {team: cores for request in asked for team, (_, cores, _) in request.shrink.items()}
 
 
 def test_a_limit_that_is_used_up_is_held_without_a_margin(store: Store) -> None:
@@ -83,7 +83,7 @@
     world = World(store)
     machine_up(world)
     store.job(spec())
-    world.round(Steal(wants={"wk-000001": 4}, grow={"red": (8.0, 0.0)}))
+    world.round(ClaimRequest(wants={"wk-000001": 4}, grow={"red": (8.0, 0.0)}))
     assert world.machines._use("red").cores == 8.0
     assert surplus_given_up(world, {"c0.1": [20.0, 0.0]}) == {"red": 8.0}
 
@@ -93,7 +93,7 @@
     world = World(store)
     machine_up(world)
     store.job(spec())
-    world.round(Steal(wants={"wk-000001": 4}, grow={"red": (8.0, 0.0)}))
+    world.round(ClaimRequest(wants={"wk-000001": 4}, grow={"red": (8.0, 0.0)}))
     assert surplus_given_up(world, {"c0.1": [12.0, 0.0]}) == {}
 
 
@@ -113,7 +113,7 @@
 
     monkeypatch.setattr(store.tables, "open_tasks", look)
     world.machines._line_up()
-    assert world.steal()[0].wants and len(looked) < 20
+    assert world.claim_requests()[0].wants and len(looked) < 20
 
 
 def test_a_round_that_comes_to_nothing_is_not_paid_for(store: Store) -> None:
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -12,7 +12,7 @@
 import pytest
 
 from sloeswitch import mesh, wire
-from sloeswitch.actors.jobs import Steal
+from sloeswitch.actors.jobs import ClaimRequest
 from sloeswitch.actors.membership import Standing
 from sloeswitch.actors.users import Users
 from sloeswitch.core import tables as t
@@ -66,27 +66,27 @@
     outage(world)
     told(log, world)
     assert world.standing.may_answer and not world.standing.may_act
-    orders = world.beat(report(5, 3, (*task, "running"))).orders
+    orders = world.heartbeat(report(5, 3, (*task, "running"))).orders
     assert orders == []  # known, and marked at the next tick, which the news wakes
-    world.machines.yard.machines["vm-1"].heard = False  # no direct command in this test
+    world.machines.registry.machines["vm-1"].heard = False  # no direct command in this test
     world.machines._stop_cancelled()
-    world.machines.yard.machines["vm-1"].heard = True
-    orders = world.beat(report(6, 3, (*task, "running"))).orders
+    world.machines.registry.machines["vm-1"].heard = True
+    orders = world.heartbeat(report(6, 3, (*task, "running"))).orders
     assert [order.verb for order in orders] == ["kill"]
     assert poll(world) == wire.CANCELLED
 
 
 def test_nothing_claimed_of_it_is_started_any_more(world: World) -> None:
     world.store.job(spec())
-    world.round(Steal(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
-    world.machines.yard.withdraw_unsent(world.machines.yard.machines["vm-1"])
+    world.round(ClaimRequest(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
+    world.machines.registry.withdraw_unsent(world.machines.registry.machines["vm-1"])
     log = Cancellations(100, 9)
     log.add(JOB, world.replica.applied + 1)
     outage(world)
     told(log, world)
     world.machines._line_up()
     world.machines._place_waiting()
-    assert world.beat(report(3, 3)).orders == []
+    assert world.heartbeat(report(3, 3)).orders == []
 
 
 def test_a_sibling_that_has_read_nothing_since_it_started_confirms_nothing(world: World) -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -11,18 +11,18 @@
 from sloeswitch import wire
 from sloeswitch.actors import machines
 from sloeswitch.actors.fleet import Fleet
-from sloeswitch.actors.jobs import Learnt, Steal
+from sloeswitch.actors.jobs import ClaimRequest, Learnt
 from sloeswitch.actors.machines import OVERDUE
 from sloeswitch.core import placement
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellations
-from sloeswitch.core.yard import Machine
+from sloeswitch.core.registry import Machine
 from sloeswitch.http import Reply
 from sloeswitch.settings import parse
 from sloeswitch.state import Replica, StateClient
 from tests.conftest import SETTINGS, Store, report, spec, submission
 from tests.test_actors import JOB, Clock, World, machine_up
-from tests.test_added_rules import Cloud, beat, deletions, later, running
+from tests.test_added_rules import Cloud, deletions, heartbeat, later, running
 from tests.test_gap import told
 from tests.test_pipelines import submit
 
@@ -41,7 +41,7 @@
 
 
 def machine(world: World) -> Machine:
-    return world.machines.yard.machines["vm-1"]
+    return world.machines.registry.machines["vm-1"]
 
 
 def cancelled(world: World, at: float | None = None) -> None:
@@ -83,7 +83,7 @@
             later(world, 1.0)
         look(world)
     assert world.standing.may_answer and world.standing.may_act != outage
-    assert JOB not in world.machines.yard.placed  # its lease is over in our books
+    assert JOB not in world.machines.registry.placed  # its lease is over in our books
     assert deleted(world) == []
     world.clock.time += 2.0
     if outage:
@@ -101,12 +101,12 @@
     look(world)
     assert machine(world).cancelled_since is not None
     later(world, 1.0)
-    beat(world, report(5, 3, (*task, "running")))
+    heartbeat(world, report(5, 3, (*task, "running")))
     assert machine(world).cancelled_since is not None
-    beat(world, report(6, 3, (*task, "ended", "halted")))
+    heartbeat(world, report(6, 3, (*task, "ended", "halted")))
     assert machine(world).cancelled_since is None
     later(world, world.settings.cancel_s)
-    beat(world, report(7, 3))
+    heartbeat(world, report(7, 3))
     look(world)
     assert deleted(world) == []
 
@@ -192,8 +192,8 @@
     world.machines.probing["vm-1"] = world.clock.time + 1000.0
     world.machines._tick()
     world.store.job(spec())
-    world.round(Steal(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
-    assert JOB in world.machines.yard.placed
+    world.round(ClaimRequest(wants={JOB: 4}, grow={"red": (8.0, 0.0)}))
+    assert JOB in world.machines.registry.placed
     serial = 10
     begun = world.clock.time
     while not deleted(world):
@@ -201,10 +201,10 @@
         serial += 1
         # Its lease runs out again and again, since direct commands do not renew it.
         session = 1 + int((world.clock.time - begun) // (world.settings.lease_s + 1))
-        world.machines._direct(report(serial, 3, session=session))
+        world.machines._command_reply(report(serial, 3, session=session))
         world.machines._tick()
         # It looks well by its answers; what was placed before is free for others.
-        assert (JOB in world.machines.yard.placed) == (world.clock.time - begun < 3.0)
+        assert (JOB in world.machines.registry.placed) == (world.clock.time - begun < 3.0)
         assert world.clock.time - begun < 3 * world.settings.lease_s
     assert world.clock.time - begun > 2 * world.settings.lease_s
 
@@ -216,7 +216,7 @@
         world.clock.time += 1.0
         world.machines._tick()
     later(world, 0.0)
-    world.machines._direct(report(90, 3, session=5))
+    world.machines._command_reply(report(90, 3, session=5))
     world.machines._tick()
     later(world, 2.0)
     world.machines._tick()
@@ -227,7 +227,7 @@
     world.store.put(t.group_key("c0.1.9"), {"m": {"vm-8": ["127.0.0.1:9008", "small", "a", True]}})
     later(world, 100.0)
     world.machines._tick()
-    assert not world.machines.yard.machines["vm-8"].known
+    assert not world.machines.registry.machines["vm-8"].known
     for _ in range(4):
         later(world, 10.0)
         world.machines.probe_failed["vm-8"] = 2
@@ -243,7 +243,7 @@
 def test_a_job_is_bound_to_a_zone_only_while_one_of_its_tasks_is_somewhere(world: World, bound: Any) -> None:
     """Jobs bound to a zone, arrays too, lose all machines there."""
     world.store.job(spec(**bound))
-    world.round(Steal(wants={JOB: 4}, zones={JOB: "b"}, picks={JOB: 0b1111}, grow={"red": (8.0, 0.0)}))
+    world.round(ClaimRequest(wants={JOB: 4}, zones={JOB: "b"}, picks={JOB: 0b1111}, grow={"red": (8.0, 0.0)}))
     job = world.store.tables.jobs[JOB]
     assert job.progress.zone == "b" and job.progress.claims
     world.tell_jobs(Learnt(released={JOB: 0b0111}))
@@ -254,7 +254,7 @@
     later(world, 20.0)
     world.round()
     assert job.progress.zone is None and not job.progress.claims
-    world.round(Steal(wants={JOB: 4}, zones={JOB: "a"}, picks={JOB: 0b1111}))
+    world.round(ClaimRequest(wants={JOB: 4}, zones={JOB: "a"}, picks={JOB: 0b1111}))
     assert job.progress.zone == "a"
 
 
@@ -304,17 +304,17 @@
     machine(world).draining = True
     world.machines._cores_ahead = lambda: 20.0  # type: ignore[method-assign]
     world.machines._line_up()
-    assert all(not asked.wants for asked in world.steal())
-    world.round(Steal(wants={JOB: 4}))
+    assert all(not asked.wants for asked in world.claim_requests())
+    world.round(ClaimRequest(wants={JOB: 4}))
     assert not world.store.tables.jobs[JOB].progress.claims
     machine(world).draining = False
-    (asked,) = world.steal()
+    (asked,) = world.claim_requests()
     # All that the rules allow here, and nothing that would have no room.
     allowed = 0b0011 if "spread" in bound else 0b1111
     assert asked.zones == {JOB: "a"} and asked.picks == {JOB: allowed}
     world.round(asked)
     assert world.store.tables.jobs[JOB].progress.claims == {"c0.1": allowed}
-    assert world.machines.yard.placed[JOB] == allowed
+    assert world.machines.registry.placed[JOB] == allowed
 
 
 def test_tasks_for_other_zones_are_claimed_where_there_is_room_for_them(world: World) -> None:
@@ -323,17 +323,17 @@
     world.store.put(t.team_key("red"), {"c0.1": [20.0, 0.0]})
     world.store.put(t.progress_key(JOB), {"d": [], "c": {"c1.9": [0, 1]}, "z": "b"})
     world.machines._line_up()
-    (asked,) = world.steal()
+    (asked,) = world.claim_requests()
     assert asked.picks == {JOB: 0b1100}
     world.round(asked)
-    assert world.machines.yard.placed[JOB] == 0b1100
+    assert world.machines.registry.placed[JOB] == 0b1100
 
 
 def test_no_zone_is_chosen_while_tasks_without_one_are_somewhere(world: World) -> None:
     """As an earlier version may have left them."""
     world.store.job(spec(together=True))
     world.store.put(t.progress_key(JOB), {"d": [], "c": {"c0.1": [0, 1]}})
-    world.round(Steal(wants={JOB: 3}, zones={JOB: "a"}, picks={JOB: 0b1110}, grow={"red": (8.0, 0.0)}))
+    world.round(ClaimRequest(wants={JOB: 3}, zones={JOB: "a"}, picks={JOB: 0b1110}, grow={"red": (8.0, 0.0)}))
     assert world.store.tables.jobs[JOB].progress.claims == {"c0.1": 0b1}
 
 
@@ -343,7 +343,7 @@
     world.store.put(t.progress_key(JOB), {"d": [], "c": {"c1.9": [0, 1]}, "z": "b"})
     world.machines._spare = lambda team, use: (2.0, 0.0)  # type: ignore[method-assign]
     world.machines._line_up()
-    (asked,) = world.steal()
+    (asked,) = world.claim_requests()
     assert asked.picks == {JOB: 0b0100}
 
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.jobs import Learnt, Steal
+from sloeswitch.actors.jobs import ClaimRequest, Learnt
 from sloeswitch.actors.users import Users
 from sloeswitch.core import fleet, ready
 from sloeswitch.core import tables as t
@@ -62,15 +62,15 @@
     world.store.job(spec(A, visits=1))
     world.store.job(spec(B, visits=1, awaits=[A]))
     assert line(world.store) == [A]
-    world.round(Steal(wants={A: 1, B: 1}, grow={"red": (8.0, 0.0)}))
+    world.round(ClaimRequest(wants={A: 1, B: 1}, grow={"red": (8.0, 0.0)}))
     assert not world.store.tables.jobs[B].progress.claims
-    start = world.beat(report(3, 3)).orders[0]
-    world.beat(report(4, 3, (start.task, start.attempt, "ended", "done")))
+    start = world.heartbeat(report(3, 3)).orders[0]
+    world.heartbeat(report(4, 3, (start.task, start.attempt, "ended", "done")))
     world.tell_jobs(world.machines.learnt if world.machines.learnt else Learnt(done={A: 1}))
     assert line(world.store) == [A]  # told, not stored
     world.round()  # at once: nothing that others wait for is kept for company
     assert line(world.store) == [B]
-    world.round(Steal(wants={B: 1}))
+    world.round(ClaimRequest(wants={B: 1}))
     assert world.store.tables.jobs[B].progress.claims == {"c0.1": 1}
 
 
@@ -85,7 +85,7 @@
 
     assert needed() == [A, C]
     world.machines._line_up()
-    assert {name for steal in world.steal() for name in steal.wants} == {A, C}
+    assert {name for request in world.claim_requests() for name in request.wants} == {A, C}
     # The team's 8 cores hold A and C, which came after B.
     assert world.store.tables.jobs[C].guaranteed and world.store.tables.jobs[B].guaranteed is None
     # For what may not use spot machines one is looked for once all that it still waits for has begun.
@@ -412,9 +412,9 @@
     store.job(spec("wk-000009"))
     world.tell_jobs(Learnt(done={f"wk-00000{number}": 1 for number in range(1, 7)}))
     world.clock.time += 1.0
-    due = world.jobs._due(Steal(wants={"wk-000008": 4, "wk-000009": 4}))
+    due = world.jobs._due(ClaimRequest(wants={"wk-000008": 4, "wk-000009": 4}))
     assert due[0] == "wk-000006" and set(due[1:6]) == {f"wk-00000{number}" for number in range(1, 6)}
-    world.round(Steal(wants={"wk-000008": 4, "wk-000009": 4}))
+    world.round(ClaimRequest(wants={"wk-000008": 4, "wk-000009": 4}))
     assert "wk-000006" in store.tables.over
 
 
@@ -470,22 +470,22 @@
     for name, urgency, image in ((A, "best_effort", "img-2"), (B, "standard", "img-2"), (C, "urgent", "img-1")):
         world.store.job(spec(name, urgency=urgency, kit=image))
         world.store.progress(name, c0_1=0b1111)
-    machine = world.machines.yard.machines["vm-1"]
+    machine = world.machines.registry.machines["vm-1"]
     machine.images["img-2"] = None
     jobs = world.store.tables.jobs
     world.machines.idle_line = [jobs[A], jobs[B], jobs[C]]
     world.machines._fill(machine)
-    assert set(world.machines.yard.placed) == {C}
+    assert set(world.machines.registry.placed) == {C}
     # Among usual ones the image still decides, whatever their priority.
     for attempt in list(machine.attempts.values()):
-        world.machines.yard.drop(machine, attempt)
+        world.machines.registry.drop(machine, attempt)
     machine.images.clear()
     machine.images["img-1"] = None
     world.store.job(spec(D, urgency="best_effort", kit="img-1"))
     world.store.progress(D, c0_1=0b1111)
     world.machines.idle_line = [jobs[B], jobs[D]]
     world.machines._fill(machine)
-    assert set(world.machines.yard.placed) == {D}
+    assert set(world.machines.registry.placed) == {D}
 
 
 def test_an_urgent_stage_that_is_late_keeps_its_place(store: Store) -> None:
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -6,7 +6,7 @@
 
 from sloeswitch.core import preemption
 from sloeswitch.core.placement import Room
-from sloeswitch.core.yard import Attempt
+from sloeswitch.core.registry import Attempt
 from tests.conftest import Store, spec
 
 SOLVE, FILL = "wk-000001", "wk-000002"
--- a/tests/test_reserve.py
+++ b/tests/test_reserve.py
@@ -81,8 +81,8 @@
     fleet = Fleet(world.settings, world.client, cloud, world.replica, world.standing, world.clock)
     fleet.machines, world.machines.fleet = world.machines, fleet
     store.put(t.group_key("g"), {"m": {"vm-1": ["127.0.0.1:9000", "small", "a", True]}})
-    world.beat(report(1, 0))
-    world.beat(report(2, 3))
+    world.heartbeat(report(1, 0))
+    world.heartbeat(report(2, 3))
     need(store, FIRST, 4, TIGHT_S)
 
     def returned_after(seconds: float) -> bool:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -10,10 +10,10 @@
 
 from sloeswitch import wire
 from sloeswitch.actors import machines
-from sloeswitch.actors.jobs import Steal
+from sloeswitch.actors.jobs import ClaimRequest
 from sloeswitch.core import placement
 from sloeswitch.core import tables as t
-from sloeswitch.core.yard import Machine
+from sloeswitch.core.registry import Machine
 from sloeswitch.wire import MachineType
 from tests.conftest import MACHINE_TYPE, SETTINGS, Store, report, spec
 from tests.test_actors import World
@@ -31,13 +31,13 @@
     monkeypatch.setattr(machines, "wall_ms", lambda: int((world.clock.time - 1000.0) * 1000))
     store.put(t.CATALOG, msgspec.to_builtins(wire.Catalog([MACHINE_TYPE, LARGE])))
     store.put(t.group_key("g"), {"m": {"vm-1": ["127.0.0.1:9000", "large", "a", False]}})
-    world.beat(large(1, 0))
-    world.beat(large(2, 3))
+    world.heartbeat(large(1, 0))
+    world.heartbeat(large(2, 3))
     store.put(t.team_key("red"), {"c0.1": [100.0, 0.0]})
     store.job(spec(FILL, visits=32, cores=1.0, memoryGb=0.1, urgency="best_effort"))
-    world.round(Steal(wants={FILL: 32}))
-    starts = world.beat(large(3, 3)).orders
-    world.beat(large(4, 3, *((order.task, order.attempt, "running") for order in starts)))
+    world.round(ClaimRequest(wants={FILL: 32}))
+    starts = world.heartbeat(large(3, 3)).orders
+    world.heartbeat(large(4, 3, *((order.task, order.attempt, "running") for order in starts)))
     yield world
 
 
@@ -46,7 +46,7 @@
 
 
 def machine(world: World) -> Machine:
-    return world.machines.yard.machines["vm-1"]
+    return world.machines.registry.machines["vm-1"]
 
 
 def tick(world: World, seconds: float) -> int:
@@ -56,7 +56,7 @@
     world.machines.met = {job.spec.id: world.machines.met.get(job.spec.id, world.clock.time)
                           for job in world.machines.line}  # fmt: skip
     machine(world).heard = True
-    kill = world.machines.yard.kill
+    kill = world.machines.registry.kill
     world.machines._kill = kill  # type: ignore[assignment,method-assign]
     world.machines._make_room(world.clock.time)
     return sum(attempt.kill_grace_s is not None for attempt in machine(world).attempts.values())
@@ -81,14 +81,14 @@
     assert tick(world, 0.5) == 30  # once is enough
     left = [attempt for attempt in machine(world).attempts.values() if attempt.kill_grace_s is None]
     running = ((attempt.name, attempt.number, "running") for attempt in left)
-    world.beat(large(5, 3, *running))
+    world.heartbeat(large(5, 3, *running))
     assert machine(world).use.cores == 2.0
     # What comes back does not take the room again.
     world.machines._place_waiting()
     world.machines._fill(machine(world))
     assert machine(world).use.cores == 2.0
-    world.round(Steal(wants={SOLVE: 1}, zones={SOLVE: "a"}, picks={SOLVE: 0b1}))
-    assert machine(world).use.cores == 32.0 and world.machines.yard.placed[SOLVE] == 0b1
+    world.round(ClaimRequest(wants={SOLVE: 1}, zones={SOLVE: "a"}, picks={SOLVE: 0b1}))
+    assert machine(world).use.cores == 32.0 and world.machines.registry.placed[SOLVE] == 0b1
 
 
 @pytest.mark.parametrize("cancelled", [False, True])
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,7 +12,7 @@
 
 from sloeswitch import mesh, wire
 from sloeswitch.actors.fleet import Fleet
-from sloeswitch.actors.jobs import Learnt, Steal
+from sloeswitch.actors.jobs import ClaimRequest, Learnt
 from sloeswitch.actors.machines import Machines
 from sloeswitch.core import tables as t
 from sloeswitch.core import taskset
@@ -118,13 +118,13 @@
     """A day of one controller: machines, a job accepted, claimed, half done, done; another one cancelled."""
     world = World(store, NARROW)
     written = watched(world)
-    beat_and_register(world, 40)
+    heartbeat_and_register(world, 40)
     assert anyio.run(world.membership._write_member)
     world.standing.mesh = None
     anyio.run(world.membership._mark)
     assert submit(world, JOB, visits=400, cores=0.1, memoryGb=0.0, builds=["small"], dueS=90.0) == 201
     assert submit(world, "wk-000002") == 201
-    world.round(Steal(wants={JOB: 400, "wk-000002": 4}, grow={"red": (8.0, 0.0)}))
+    world.round(ClaimRequest(wants={JOB: 400, "wk-000002": 4}, grow={"red": (8.0, 0.0)}))
     scattered = sum(1 << index for index in range(0, 120, 3))
     world.tell_jobs(Learnt(done={JOB: scattered}))
     world.clock.time += 20.0
@@ -145,11 +145,11 @@
     assert Production().read(t.job_key(JOB), written[t.job_key(JOB)]) == ("j", JOB, t.DONE, 400)
 
 
-def beat_and_register(world: World, count: int) -> None:
+def heartbeat_and_register(world: World, count: int) -> None:
     for number in range(count):
         name = f"vm-{number:06d}"
-        world.beat(report(1, 0, name=name))
-        world.beat(report(2, 3, name=name))
+        world.heartbeat(report(1, 0, name=name))
+        world.heartbeat(report(2, 3, name=name))
 
     async def register(machines: Machines) -> None:
         while len(world.store.tables.machines) < count:
@@ -365,7 +365,7 @@
         store.job(spec(f"wk-00000{number}", visits=1))
         store.progress(f"wk-00000{number}", c1_9=1)
     world.client.most_changes_now, world.client.most_bytes_now = changes, size
-    beat_and_register(world, 12)
+    heartbeat_and_register(world, 12)
     world.tell_jobs(Learnt(adopted={f"wk-00000{number}": 1 for number in range(1, 7)}, view=3))
     for _ in range(12):
         world.round()
@@ -421,6 +421,6 @@
         store.job(spec(f"wk-00000{number}", crew=f"t{number}", visits=1, cores=1.0))
     for _ in range(8):
         world.machines._line_up()
-        for steal in world.steal():
-            world.round(steal)
+        for request in world.claim_requests():
+            world.round(request)
     assert all(job.progress.claims == {"c0.1": 1} for job in store.tables.jobs.values())
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -14,8 +14,8 @@
 
 from sloeswitch import wire
 from sloeswitch.actors import machines as machines_module
-from sloeswitch.actors.jobs import Jobs, Learnt, Steal
-from sloeswitch.actors.machines import Beat, Machines
+from sloeswitch.actors.jobs import ClaimRequest, Jobs, Learnt
+from sloeswitch.actors.machines import Heartbeat, Machines
 from sloeswitch.actors.membership import Membership, Settled, Standing
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellations
@@ -189,9 +189,9 @@
         self.machines.pace_s = self.jobs.batch_s = 0.0
         self.group = Group()
         self.machines.group = self.group  # type: ignore[assignment]
-        self.asked: list[Steal] = []
+        self.asked: list[ClaimRequest] = []
 
-        async def ask_for(steal: Steal) -> None:
+        async def ask_for(request: ClaimRequest) -> None:
             raise AssertionError("taken from the group")
 
         self.machines._ask_for = ask_for  # type: ignore[method-assign]
@@ -230,7 +230,7 @@
         """A look round, a round of storing, and what was asked for."""
         group = self.group
         start_soon = group.start_soon
-        asked: list[Steal] = []
+        asked: list[ClaimRequest] = []
 
         def take(call: Any, *args: Any) -> None:
             if call is self.machines._ask_for:
@@ -254,10 +254,10 @@
                 message = self.jobs._inbox.popleft()
                 assert isinstance(message, Learnt)
                 await self.jobs.handle(message)
-            for steal in asked:
-                await self.jobs.handle(steal)
+            for request in asked:
+                await self.jobs.handle(request)
                 await self.jobs._round()
-                for name, tasks in steal.gained.items():
+                for name, tasks in request.gained.items():
                     if name in self.machines.releasing:
                         self.machines.releasing[name] &= ~tasks
             if not asked:
@@ -295,7 +295,7 @@
             self.name, "127.0.0.1:9000", "small", "a", True, self.session, self.serial, self.token, items
         )  # fmt: skip
 
-    def beat(self) -> None:
+    def heartbeat(self) -> None:
         """A report to the controller of which the worker thinks, or to the next one; the answer may be late or lost."""
         world, rng, sent = self.world, self.world.rng, self.world.clock.time
         if any(sent - earlier <= 4.0 for _, earlier, _, _ in self.flight):
@@ -306,11 +306,11 @@
             self.copies.append(report)
         if self.copies and rng.random() < 0.1:
             copy = self.copies.pop(rng.randrange(len(self.copies)))
-            message = Beat(report=copy, received=False)
+            message = Heartbeat(report=copy, received=False)
             anyio.run(world.nodes[rng.choice(MEMBERS)].machines.handle, message)
         if rng.random() < 0.05:
             return  # never arrives
-        message = Beat(report=report, received=self.heard_answer)
+        message = Heartbeat(report=report, received=self.heard_answer)
         anyio.run(world.nodes[self.target].machines.handle, message)
         answer, self.heard_answer = message.answer, False
         world.answered[str(answer.status)] += 1
@@ -407,7 +407,7 @@
             worker.receive()
             worker.work()
             if rng.random() < 0.35:
-                worker.beat()
+                worker.heartbeat()
             worker.receive()
         world.check()
     return world
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sloeswitch.core import fleet
-from sloeswitch.core.yard import Machine, Yard
+from sloeswitch.core.registry import Machine, MachineRegistry
 from sloeswitch.core.zones import ZoneWatch
 from tests.conftest import MACHINE_TYPE, spec
 
@@ -13,12 +13,12 @@
 
 def machines(heard_at: dict[str, list[float]]) -> list[Machine]:
     """Machines that were heard at these times, by zone."""
-    yard = Yard()
+    registry = MachineRegistry()
     for zone, times in heard_at.items():
         for number, time in enumerate(times):
-            machine = yard.take(f"vm-{zone}-{number}", "127.0.0.1:9000", "small", zone, True, 1, 0.0)
+            machine = registry.take(f"vm-{zone}-{number}", "127.0.0.1:9000", "small", zone, True, 1, 0.0)
             machine.heard, machine.heard_at = True, time
-    return list(yard.machines.values())
+    return list(registry.machines.values())
 
 
 def test_a_zone_whose_machines_fall_silent_together_looks_cut_off_for_a_while() -> None:
