--- a/sloeswitch/core/reserve.py
+++ b/sloeswitch/core/reserve.py
@@ -14,7 +14,8 @@
 
 # The slowest task of an array runs about this part of the estimate longer than the estimate (found on the bench).
 SLOWEST_TASK = 0.5
-# Boots usually take no longer than this many times what the cloud tells (protocol).
+# A slow boot, in times of what the cloud tells; usual ones take 0.6 to 1.5 times that (protocol). Kept for the slowest
+# usual boot, machines cost more than was gained (found on the bench).
 SLOW_BOOT = 1.25
 # How long a peak of need is remembered, in boot times of the fastest type that suits.
 REMEMBERED_BOOTS = 10.0
