--- a/sloeswitch/core/reserve.py
+++ b/sloeswitch/core/reserve.py
@@ -19,6 +19,9 @@
 SLOW_BOOT = 1.25
 # How long a peak of need is remembered, in boot times of the fastest type that suits.
 REMEMBERED_BOOTS = 10.0
+# Such work has ended when none came for so many of its usual intervals, and for so many boot times.
+ENDED_INTERVALS = 4.0
+ENDED_BOOTS = 2.0
 
 
 def latest_start_s(job: Job, settings: Settings) -> float:
@@ -65,6 +68,8 @@
     """
 
     amounts: deque[tuple[float, float]] = field(default_factory=deque)
+    # When jobs of this kind were first seen, the latest last.
+    arrivals: dict[str, float] = field(default_factory=dict)
 
     def add(self, now: float, amount: float, span_s: float) -> None:
         """Takes note of what is needed now, and forgets what is longer ago than `span_s`."""
@@ -74,6 +79,20 @@
         while self.amounts[0][0] < now - span_s:
             self.amounts.popleft()
 
+    def arrived(self, job: str, now: float) -> None:
+        """Takes note of a job that is there now."""
+        self.arrivals.setdefault(job, now)
+
+    def ended(self, now: float, boot_s: float) -> bool:
+        """Whether such work has stopped coming. Guards against machines that are kept idle long after a day's last
+        work (found on the bench: a twentieth of the money spent)."""
+        span_s = REMEMBERED_BOOTS * boot_s
+        self.arrivals = {job: at for job, at in self.arrivals.items() if at >= now - span_s}
+        if not self.arrivals:
+            return True
+        usual_s = span_s / len(self.arrivals)
+        return now - max(self.arrivals.values()) > max(ENDED_INTERVALS * usual_s, ENDED_BOOTS * boot_s)
+
     @property
     def peak(self) -> float:
         return self.amounts[0][1]
@@ -101,12 +120,12 @@
             suited = Suited.to(need.spec, tables.types)
             amounts[suited] = amounts.get(suited, 0.0) + need.tasks * need.spec.cores
             self.examples[suited] = need.spec
-            self.peaks.setdefault(suited, Peaks())
+            self.peaks.setdefault(suited, Peaks()).arrived(job.spec.id, now)
         for suited, peaks in list(self.peaks.items()):
             boots = [kind.boot_s for name, kind in tables.types.items() if name in suited.types]
-            span_s = REMEMBERED_BOOTS * min(boots, default=0.0)
-            peaks.add(now, amounts.get(suited, 0.0), span_s)
-            if not peaks.peak:
+            boot_s = min(boots, default=0.0)
+            peaks.add(now, amounts.get(suited, 0.0), REMEMBERED_BOOTS * boot_s)
+            if not peaks.peak or peaks.ended(now, boot_s):
                 del self.peaks[suited], self.examples[suited]
 
     def missing(self, wanted: list[Need], types: dict[str, MachineType]) -> list[Need]:
