--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -20,9 +20,7 @@
 from sloeswitch.core import fleet as plan
 from sloeswitch.core import tables as t
 from sloeswitch.core.fleet import Kind
-from sloeswitch.core.reserve import Reserve
 from sloeswitch.core.tables import Tables
-from sloeswitch.core.zones import ZoneWatch
 from sloeswitch.settings import Settings
 from sloeswitch.state import Outcome, Replica, StateClient, Urgency
 
@@ -32,10 +30,6 @@
 log = logging.getLogger("fleet")
 
 
-# A zone that looked cut off is rented in last for so many worker leases.
-CUT_REMEMBERED_LEASES = 6.0
-
-
 @dataclass
 class Expected:
     """A machine that was rented and is not registered yet."""
@@ -69,9 +63,6 @@
         self.listed_at = float("-inf")
         self.catalog_at = float("-inf")
         self.idle_since: dict[str, float] = {}
-        self.zones = ZoneWatch(settings.late_s, CUT_REMEMBERED_LEASES * settings.lease_s)
-        # One for each spread, since the needs differ by it.
-        self.reserves = {spread: Reserve() for spread in (plan.SPREAD_RENT, plan.SPREAD_KEEP)}
 
     # -- returning
 
@@ -228,8 +219,8 @@
         for item in self.expected.values():
             supply[item.kind] = supply.get(item.kind, 0) + 1
         refused = {kind for kind, until in self.refused.items() if now < until}
-        wanted, reserved = self._needs(plan.SPREAD_RENT)
-        choice = plan.rent(wanted + reserved, supply, self.types, refused, 50, self.zones.cut(now))
+        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000), plan.SPREAD_RENT)
+        choice = plan.rent(wanted, supply, self.types, refused, 50)
         if choice is None:
             return False
         self.bookings += 1
@@ -245,13 +236,6 @@
                  " (spot)" if spot else "")  # fmt: skip
         return self.standing.coordinating and now - self.listed_at < self.settings.list_lag_s
 
-    def _needs(self, spread: float) -> tuple[list[plan.Need], list[plan.Need]]:
-        """What the jobs need, and what is to be there besides for work that cannot wait for a boot."""
-        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000), spread)
-        reserve = self.reserves[spread]
-        reserve.observe(wanted, self.tables, self.settings, self.now())
-        return wanted, reserve.missing(wanted, self.tables.types)
-
     def _registered(self) -> dict[Kind, int]:
         supply: dict[Kind, int] = {}
         for row in self.tables.machines.values():
@@ -261,10 +245,11 @@
 
     # -- machines not needed
 
-    def _spare_dear(self, wanted: list[plan.Need]) -> None:
+    def _spare_dear(self) -> None:
         """Lets machines run empty that are not needed, the dearest first. Every controller reckons from the
         same tables and picks by name, so that together they spare the right number."""
         assert self.machines is not None
+        wanted = plan.needs(self.tables, self.settings, int(time.time() * 1000), plan.SPREAD_KEEP)
         spared = plan.surplus(wanted, self._registered(), self.tables.types)
         chosen: set[str] = set()
         for name in sorted(self.tables.machines):
@@ -281,15 +266,12 @@
         if self.machines is None or not self.standing.may_act:
             return
         now = self.now()
-        self.zones.observe(self.machines.registry.machines.values(), now)
-        wanted, reserved = self._needs(plan.SPREAD_KEEP)
-        self._spare_dear(wanted + reserved)
+        self._spare_dear()
         settled = self.tables.all_settled()
         backlog = self.machines.startable([
             job.spec for job in self.tables.jobs.values()
             if job.runnable and self.tables.open_tasks(job, settled)
         ])  # fmt: skip
-        backlog += [need.spec for need in reserved]
         for machine in list(self.machines.registry.machines.values()):
             kind = self.tables.types.get(machine.type)
             if kind is None or not machine.heard or machine.draining:
--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Set
 from dataclasses import dataclass
 
 from sloeswitch.core.quota import Use, fits_type, room_for
@@ -139,10 +138,8 @@
     types: dict[str, MachineType],
     refused: set[Kind],
     most: int,
-    cut_zones: Set[str] = frozenset(),
 ) -> Plan | None:
-    """The next booking, or None when the machines at hand, up or on their way, have room for all. Zones that look
-    cut off come last: what is up there cannot be reached yet."""
+    """The next booking, or None when the machines at hand, up or on their way, have room for all."""
     found = offers(types)
     _left, short = fill(wanted, supply, found)
     # Guards against a small job for which there is no machine at all: worth none by its size, it was never
@@ -151,7 +148,7 @@
         spec for spec, _tasks in short
         if not any(supply.get(offer.kind, 0) > 0 and offer.suits(spec) for offer in found)
     ]  # fmt: skip
-    best: tuple[bool, float, int, Kind, int] | None = None
+    best: tuple[float, int, Kind, int] | None = None
     for offer in found:
         if offer.kind in refused:
             continue
@@ -159,12 +156,10 @@
         if machines < WORTH_RENTING and not any(offer.suits(spec) for spec in lone):
             continue
         price = offer.price / max(offer.type.cores, 1e-3)
-        cut = offer.kind[1] in cut_zones
-        count = min(most, max(1, math.floor(machines)))
-        candidate = (cut, price, supply.get(offer.kind, 0), offer.kind, count)
-        if best is None or candidate[:3] < best[:3]:
+        candidate = (price, supply.get(offer.kind, 0), offer.kind, min(most, max(1, math.floor(machines))))
+        if best is None or candidate[:2] < best[:2]:
             best = candidate
-    return Plan(best[3], best[4]) if best is not None else None
+    return Plan(best[2], best[3]) if best is not None else None
 
 
 def surplus(wanted: list[Need], supply: dict[Kind, int], types: dict[str, MachineType]) -> dict[Kind, int]:
