A sibling deletes machines with cancelled tasks when their owner restarted in an outage

Change: a controller that has read the tables, while no sibling says that it reaches the state service or knows a newer view, asks the machines that may hold such tasks and deletes those that hold one or are silent.

--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -67,8 +67,8 @@
     # -- returning
 
     def give_back(self, machine: str, listed: bool = False, pressing: bool = False) -> bool:
-        """Has the machine deleted; if `pressing`, also while this controller may only answer machines. False when
-        that is under way already."""
+        """Has the machine deleted; if `pressing`, also while this controller may only answer machines, or nobody may.
+        False when that is under way already."""
         if machine in self.returning and pressing <= (machine in self.pressing):
             return False
         self.returning[machine] = listed
@@ -89,7 +89,8 @@
             if not self.returning:
                 await self.wake.wait()
             self.wake = anyio.Event()
-            pressing = list(self.pressing) if self.standing.may_answer else []
+            may_press = self.standing.may_answer or self.standing.unattended
+            pressing = list(self.pressing) if may_press else []
             if not self.standing.may_act and not pressing:
                 await anyio.sleep(self.settings.report_s / 4)
                 continue
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -26,6 +26,7 @@
 from sloeswitch.core import placement, preemption, quota, ready, taskset
 from sloeswitch.core import tables as t
 from sloeswitch.core.allowances import Allowance
+from sloeswitch.core.cancellation_guard import OVERDUE, CancellationGuard, overdue_job
 from sloeswitch.core.health import Health
 from sloeswitch.core.quota import fits_type
 from sloeswitch.core.registry import FETCHING, RUNNING, Attempt, Heard, Machine, MachineRegistry
@@ -51,6 +52,14 @@
     report: wire.Report
 
 
+@dataclass
+class Inspected:
+    """What a machine told that was asked for its tasks only; None when it did not answer."""
+
+    machine: str
+    report: wire.Report | None
+
+
 @dataclass
 class Deleted:
     """The cloud confirmed that these machines, and all on them, are gone."""
@@ -70,9 +79,6 @@
 
 # Machines that are not needed are emptied once no more than this part of them is in use.
 LEAN = 0.5
-# A machine on which a cancelled task may be is deleted after this part of the time in which the task must be gone.
-# By then a worker that merely hears nothing has given up by its lease; the rest is for the cloud's rate and retries.
-OVERDUE = 0.5
 
 
 def movable(attempt: Attempt, now: float) -> bool:
@@ -138,6 +144,9 @@
         self.watch_at = 0.0
         # Whether a task of a job that was cancelled some time ago may still be anywhere.
         self.cancellation_overdue = False
+        self.guard = CancellationGuard(settings)
+        # When a machine last told anything, whether or not it could be answered.
+        self.any_heard_at = float("-inf")
         self.ticked_at = float("-inf")
         # Since when reports have been answered without a break: who is silent longer than that may be well.
         self.answering_since = float("-inf")
@@ -158,6 +167,8 @@
             message.reply(None)
         elif isinstance(message, CommandReply):
             self._command_reply(message.report)
+        elif isinstance(message, Inspected):
+            self._inspected(message)
         elif isinstance(message, Deleted):
             self._deleted(message.machines)
 
@@ -217,6 +228,7 @@
 
     def _heartbeat(self, report: wire.Report, received: bool) -> Answer:
         standing = self.standing
+        self.any_heard_at = self.now()
         if not standing.may_answer:
             return refuse(1)
         owner = standing.owner(report.machine)
@@ -347,6 +359,7 @@
         if not standing.may_answer or now - self.ticked_at > self.settings.late_s:
             self.answering_since = now
         self.ticked_at = now
+        self._guard_cancellations(now)
         if not standing.included:
             if standing.boot != self.boot:
                 self._follow_view()
@@ -462,11 +475,8 @@
 
     def _cancellation_overdue(self) -> bool:
         """Whether a job that was cancelled longer ago than a part of the time allowed still has claims."""
-        latest_ms = wall_ms() - 1000 * OVERDUE * self.settings.cancel_s
-        return any(
-            job.cancelled and job.progress.claims and 0 < job.cancelled_ms < latest_ms
-            for job in self.tables.jobs.values()
-        )
+        now_ms = wall_ms()
+        return any(overdue_job(job, self.settings.cancel_s, now_ms) for job in self.tables.jobs.values())
 
     def _may_hold_cancelled(self, machine: Machine, now: float, silent: bool) -> bool:
         """Whether a cancelled task may be on the machine that must be gone soon.
@@ -479,6 +489,73 @@
             return now - machine.cancelled_since > OVERDUE * self.settings.cancel_s
         return self.cancellation_overdue and not machine.heard and silent
 
+    # -- cancelled tasks while nobody may answer machines
+
+    def _guard_cancellations(self, now: float) -> None:
+        """Has machines inspected, and deleted if need be, that may hold cancelled tasks while nobody may answer them.
+
+        Guards against a machine that hangs with a cancelled task, and whose owner restarted while the state service is
+        down: that process knows of nothing, and the others' permission ends with its confirmations (found by the
+        random world, tests/test_world.py).
+        """
+        self.guard.observe(self.tables, now)
+        if not self.standing.unattended or self.group is None:
+            self.guard.clear()
+            return
+        suspects = self.guard.suspects(self.tables, self.standing.tag, now, wall_ms()) | self._own_suspects(now)
+        for name in self.guard.due(suspects, now):
+            self.group.start_soon(self._inspect, name, self._address(name))
+        if self._hears_nobody(now):
+            return
+        for name in self.guard.deletable():
+            if self.fleet is not None and self.fleet.give_back(name, pressing=True):
+                log.info("%s goes back: cancelled tasks may be on it, and no controller may answer it", name)
+
+    def _own_suspects(self, now: float) -> set[str]:
+        overdue = self._cancellation_overdue()
+        return {
+            machine.name for machine in self.registry.machines.values()
+            if (overdue and not machine.heard) or (
+                machine.cancelled_since is not None
+                and now - machine.cancelled_since > OVERDUE * self.settings.cancel_s
+            )
+        }  # fmt: skip
+
+    def _address(self, machine: str) -> str:
+        known = self.registry.machines.get(machine)
+        return known.address if known is not None else self.tables.machines[machine].address
+
+    def _hears_nobody(self, now: float) -> bool:
+        """Whether no machine at all was heard for two leases though there are some: our own network is the likely
+        reason, and what does not answer may be well."""
+        return len(self.tables.machines) > 3 and now - self.any_heard_at > 2 * self.settings.lease_s
+
+    async def _inspect(self, name: str, address: str) -> None:
+        """Asks a machine what it holds. That needs no permission: it changes nothing there."""
+        report: wire.Report | None = None
+        try:
+            async with self.commanding:
+                host, _, port = address.rpartition(":")
+                client = Client(Address(host, int(port)), most_idle=0)
+                reply = await client.request("GET", "/inspect", None, self._command_timeout_s)
+            if reply.status == 200:
+                report = wire.decode(reply.body, wire.Report)
+        except NoAnswerError:
+            pass
+        except (wire.MalformedError, ValueError) as error:
+            log.error("%s answered an inspection with %s", name, error)
+        with contextlib.suppress(InboxFullError):
+            self.tell(Inspected(name, report))
+
+    def _inspected(self, message: Inspected) -> None:
+        now = self.now()
+        if message.report is None:
+            self.guard.failed(message.machine, now)
+        else:
+            self.any_heard_at = now
+            self.guard.answered(message.report, self.tables, now)
+        self.wake.set()
+
     def _empty_spared(self, now: float) -> None:
         """Moves the last tasks off machines that are not needed, where that loses next to nothing: all of
         them save, have run for a while, and there is room elsewhere. One long task would else keep a whole
@@ -578,6 +655,10 @@
 
     # -- direct commands
 
+    @property
+    def _command_timeout_s(self) -> float:
+        return min(2.0, self.settings.lease_s / 6)
+
     def _probe(self, machine: Machine, now: float) -> None:
         """Asks a machine that does not report; for a machine just taken over this also fences it."""
         if now < self.probing.get(machine.name, 0.0) or not machine.address or self.group is None:
@@ -606,7 +687,7 @@
             body = wire.encode(wire.Orders(self.standing.view.number, orders, session))
             host, _, port = machine.address.rpartition(":")
             client = Client(Address(host, int(port)), most_idle=0)
-            reply = await client.request("POST", "/commands", body, min(2.0, self.settings.lease_s / 6))
+            reply = await client.request("POST", "/commands", body, self._command_timeout_s)
             if reply.status not in (200, 409):
                 return
             report = wire.decode(reply.body, wire.Report)
--- a/sloeswitch/actors/membership.py
+++ b/sloeswitch/actors/membership.py
@@ -17,7 +17,6 @@
 from sloeswitch.actors.base import Actor
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellation
-from sloeswitch.core.rendezvous import owner
 from sloeswitch.http import NoAnswerError
 from sloeswitch.mesh import Known, Mesh
 from sloeswitch.settings import Settings
@@ -81,6 +80,18 @@
             peer.whole and peer.view <= self.view.number and self.now() < peer.asked_at + self.span_s for peer in peers
         )
 
+    @property
+    def unattended(self) -> bool:
+        """Whether, as far as can be known here, no controller may answer machines: the state service does not answer,
+        some sibling confirms nothing, and none tells that it reaches the state service or knows of a newer view."""
+        if self.may_answer or not self.replica.whole or self.replica.client.reachable:
+            return False
+        now = self.now()
+        peers = self.mesh.peers.values() if self.mesh is not None else ()
+        return not any(
+            peer.view > self.view.number or (peer.state_ok and now < peer.asked_at + self.span_s) for peer in peers
+        )
+
     def known(self) -> Known:
         """What siblings are told."""
         replica = self.replica
@@ -100,7 +111,7 @@
         return self.may_act and self.tables.coordinator == (self.settings.member, self.boot)
 
     def owner(self, machine: str) -> str | None:
-        return owner(machine, self.view.members)
+        return self.view.owner(machine)
 
     def claim_conditions(self) -> dict[str, int]:
         """What a write that relies on the view is conditional on."""
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -34,6 +34,7 @@
 from sloeswitch.core import taskset
 from sloeswitch.core.cancellations import Cancellation, Cancellations
 from sloeswitch.core.graph import Graph
+from sloeswitch.core.rendezvous import owner
 from sloeswitch.settings import Team
 from sloeswitch.wire import Catalog, JobSpec, MachineType
 
@@ -129,6 +130,10 @@
     def tags(self) -> frozenset[str]:
         return frozenset(tag_of(member, boot) for member, boot in self.members)
 
+    def owner(self, machine: str) -> str | None:
+        """The member that owns a machine under this view; None when the view is empty."""
+        return owner(machine, self.members)
+
     def boot_of(self, member: str) -> int | None:
         return next((boot for name, boot in self.members if name == member), None)
 
--- /dev/null
+++ b/tests/test_cancellation_guard.py
@@ -0,0 +1,185 @@
+"""Machines that may hold cancelled tasks while nobody may answer them: which are inspected, and which are deleted."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import pytest
+
+from sloeswitch.actors import machines as machines_module
+from sloeswitch.actors.fleet import Fleet
+from sloeswitch.actors.machines import Inspected
+from sloeswitch.core import tables as t
+from sloeswitch.core.cancellation_guard import MOST_FAILURES, OVERDUE, CancellationGuard
+from sloeswitch.core.cancellations import Cancellation
+from sloeswitch.mesh import Mesh
+from sloeswitch.settings import Settings
+from tests.conftest import Store, report, spec
+from tests.test_actors import JOB, World
+from tests.test_added_rules import Cloud, deletions
+
+NOW = 1000.0
+CANCELLED_MS = 1
+MACHINES = {f"vm-{number}": ["127.0.0.1:9000", "small", "a", True] for number in range(8)}
+
+
+def cancelled_job(store: Store, tag: str, cancelled_ms: int = CANCELLED_MS) -> None:
+    """A cancelled job of which a controller's run holds a claim."""
+    store.job(spec(JOB))
+    store.put(t.progress_key(JOB), t.Progress(0, {tag: 1}).stored())
+    row = store.rows[t.job_key(JOB)][0]
+    store.put(t.job_key(JOB), {**row, "s": t.WITHDRAWN, "x": cancelled_ms})
+
+
+def two_members(store: Store) -> None:
+    store.view(4, ("c0", 1), ("c1", 2))
+    store.put(t.group_key("c1.2.1"), {"m": MACHINES})
+
+
+def owned_by(store: Store, member: str) -> set[str]:
+    return {name for name in MACHINES if store.tables.view.owner(name) == member}
+
+
+def overdue_ms(settings: Settings) -> int:
+    return CANCELLED_MS + int(1000 * OVERDUE * settings.cancel_s) + 1
+
+
+def test_machines_of_the_run_that_holds_the_claims_are_suspected(settings: Settings, store: Store) -> None:
+    two_members(store)
+    cancelled_job(store, "c1.2")
+    guard = CancellationGuard(settings)
+    assert guard.suspects(store.tables, "c0.1", NOW, overdue_ms(settings)) == owned_by(store, "c1") != set()
+    assert guard.suspects(store.tables, "c1.2", NOW, overdue_ms(settings)) == set(), "its own books tell more"
+    assert guard.suspects(store.tables, "c0.1", NOW, overdue_ms(settings) - 2) == set(), "not overdue yet"
+
+
+def test_what_a_departed_run_had_claimed_may_be_on_any_machine(settings: Settings, store: Store) -> None:
+    two_members(store)
+    cancelled_job(store, "c1.1")
+    guard = CancellationGuard(settings)
+    assert guard.suspects(store.tables, "c0.1", NOW, overdue_ms(settings)) == set(MACHINES)
+
+
+def test_a_cancellation_that_a_sibling_told_is_overdue_by_our_clock(settings: Settings, store: Store) -> None:
+    """Its row is not read, so that nothing is known of its claims."""
+    two_members(store)
+    store.tables.cancel_told(Cancellation("wk-000077", 99))
+    guard = CancellationGuard(settings)
+    guard.observe(store.tables, NOW)
+    later = NOW + OVERDUE * settings.cancel_s
+    assert guard.suspects(store.tables, "c0.1", later - 0.1, CANCELLED_MS) == set()
+    assert guard.suspects(store.tables, "c0.1", later, CANCELLED_MS) == owned_by(store, "c1")
+
+
+def test_a_machine_is_deleted_that_holds_a_cancelled_task_or_does_not_answer(settings: Settings, store: Store) -> None:
+    two_members(store)
+    cancelled_job(store, "c1.2")
+    guard = CancellationGuard(settings)
+    names = ["vm-1", "vm-2", "vm-3"]
+    assert guard.due(names, NOW) == names
+    assert guard.due(names, NOW) == [], "asked once at a time"
+    guard.answered(report(1, 4, (f"{JOB}/0", 7, "running"), name="vm-1"), store.tables, NOW)
+    guard.answered(report(1, 4, (f"{JOB}/0", 7, "ended", "halted"), name="vm-2"), store.tables, NOW)
+    for _ in range(MOST_FAILURES):
+        assert "vm-3" not in guard.deletable()
+        guard.failed("vm-3", NOW)
+    assert guard.deletable() == ["vm-1", "vm-3"]
+    assert guard.due(["vm-2", "vm-3"], NOW + settings.lease_s) == ["vm-2"], "asked again later"
+    assert guard.deletable() == ["vm-3"], "vm-1 is suspected no more"
+
+
+class Outage:
+    """c0.1 in an outage, beside a sibling c1 that answers over the mesh; machines of c1 may hold a cancelled task."""
+
+    def __init__(self, store: Store, monkeypatch: pytest.MonkeyPatch) -> None:
+        two_members(store)
+        cancelled_job(store, "c1.2")
+        self.world = world = World(store)
+        store.view(5, ("c0", 1), ("c1", 2))
+        monkeypatch.setattr(machines_module, "wall_ms", lambda: overdue_ms(world.settings))
+        world.standing.mesh = Mesh(
+            world.settings.siblings, 1.0, world.clock, world.standing.known, store.tables.cancellations, lambda _: None
+        )  # fmt: skip
+        self.peer = world.standing.mesh.peers["c1"]
+        self.started: list[str] = []
+        self.given_back: list[str] = []
+        world.machines.group = self  # type: ignore[assignment]
+        world.machines.fleet = self  # type: ignore[assignment]
+        world.client.failing_since = world.clock.time
+        world.clock.time += 2 * world.settings.controller_lease_s
+        self.sibling_tells(view=0, state_ok=False)
+
+    def sibling_tells(self, view: int, state_ok: bool) -> None:
+        self.peer.asked_at, self.peer.view, self.peer.state_ok = self.world.clock.time, view, state_ok
+
+    def start_soon(self, call: Any, *args: Any) -> None:
+        assert call.__name__ == "_inspect"
+        self.started.append(args[0])
+
+    def give_back(self, machine: str, pressing: bool) -> bool:
+        self.given_back.append(machine)
+        return pressing
+
+    def inspect(self, silent: set[str]) -> None:
+        """One round of questions, which all machines answer but the silent ones."""
+        self.world.machines._guard_cancellations(self.world.clock.time)
+        for name in self.started:
+            answer = None if name in silent else report(1, 5, name=name)
+            anyio.run(self.world.machines.handle, Inspected(name, answer))
+        self.started.clear()
+        self.world.clock.time += self.world.settings.report_s
+        self.world.machines._guard_cancellations(self.world.clock.time)
+
+
+def test_only_the_silent_machines_of_a_sibling_that_restarted_are_deleted(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    outage = Outage(store, monkeypatch)
+    silent = sorted(owned_by(store, "c1"))[0]
+    for _ in range(MOST_FAILURES):
+        outage.inspect({silent})
+    assert set(outage.given_back) == {silent}
+
+
+def test_a_sibling_that_reaches_the_state_service_or_knows_a_newer_view_decides_itself(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    outage = Outage(store, monkeypatch)
+    for view, state_ok in ((5, True), (6, False)):
+        outage.sibling_tells(view, state_ok)
+        outage.inspect(set())
+        assert not outage.world.machines.guard.inspections
+    outage.sibling_tells(0, False)
+    outage.inspect(set())
+    assert outage.world.machines.guard.inspections
+
+
+def test_the_fleet_deletes_what_is_not_its_own_for_a_cancellation_while_nobody_may_answer(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    outage = Outage(store, monkeypatch)
+    cloud: Any = Cloud()
+    world = outage.world
+    fleet = Fleet(world.settings, world.client, cloud, world.replica, world.standing, world.clock)
+    fleet.machines = world.machines
+    pressing, other = sorted(owned_by(store, "c1"))[:2]
+    fleet.give_back(pressing, pressing=True)
+    fleet.give_back(other)
+    outage.sibling_tells(5, True)
+    assert deletions(world, fleet) == []
+    outage.sibling_tells(0, False)
+    fleet.wake = anyio.Event()  # of the next event loop
+    assert deletions(world, fleet) == [pressing]
+
+
+def test_nothing_is_deleted_by_a_controller_that_hears_no_machine_at_all(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    outage = Outage(store, monkeypatch)
+    for _ in range(2 * MOST_FAILURES):
+        outage.inspect(set(MACHINES))
+    assert outage.given_back == []
+    outage.world.machines.any_heard_at = outage.world.clock.time
+    outage.inspect(set(MACHINES))
+    assert set(outage.given_back) == owned_by(store, "c1")
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -12,9 +12,9 @@
 from sloeswitch.actors import machines
 from sloeswitch.actors.fleet import Fleet
 from sloeswitch.actors.jobs import ClaimRequest, Learnt
-from sloeswitch.actors.machines import OVERDUE
 from sloeswitch.core import placement
 from sloeswitch.core import tables as t
+from sloeswitch.core.cancellation_guard import OVERDUE
 from sloeswitch.core.cancellations import Cancellations
 from sloeswitch.core.registry import Machine
 from sloeswitch.http import Reply
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -20,7 +20,7 @@
 from sloeswitch import wire
 from sloeswitch.actors import machines as machines_module
 from sloeswitch.actors.jobs import ClaimRequest, Jobs, Learnt
-from sloeswitch.actors.machines import CommandReply, Deleted, Heartbeat, Machines
+from sloeswitch.actors.machines import CommandReply, Deleted, Heartbeat, Inspected, Machines
 from sloeswitch.actors.membership import Membership, Settled, Standing
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellations
@@ -165,6 +165,10 @@
 
     node: Node
 
+    @property
+    def reachable(self) -> bool:
+        return self.node.reaches
+
     async def pay(self, changes: int, urgency: Any) -> None:
         return None
 
@@ -216,6 +220,14 @@
             self.pending.append((call, args))
         elif call.__name__ == "_command" and self.node.world.troubled:
             self.command(args[0])
+        elif call.__name__ == "_inspect":
+            self.inspect(args[0])
+
+    def inspect(self, machine: str) -> None:
+        """A question for a machine's tasks: answered, or lost. It changes nothing there."""
+        worker = self.node.world.worker(machine)
+        lost = worker is None or worker.hung or worker.deaf or self.node.world.rng.random() < 0.1
+        self.node.inbox.append(Inspected(machine, None if lost or worker is None else worker.report()))
 
     def command(self, machine: Machine) -> None:
         """A direct command: carried out and answered, only carried out, carried out late, or lost."""
@@ -256,8 +268,9 @@
         def delete() -> None:
             self.returning.discard(machine)
             node = self.node
-            allowed = node.standing.may_act or (pressing and node.standing.may_answer)
-            if allowed and node.standing.owner(machine) == node.settings.member:
+            standing = node.standing
+            ours = standing.owner(machine) == node.settings.member
+            if (ours and standing.may_act) or (pressing and (standing.may_answer or standing.unattended)):
                 node.world.delete(machine)
                 node.inbox.append(Deleted([machine]))
 
@@ -295,7 +308,7 @@
         )
         # Pauses would be real ones.
         self.machines.pace_s = self.machines.registration.pace_s = self.jobs.batch_s = 0.0
-        self.inbox: list[CommandReply | Deleted] = []
+        self.inbox: list[CommandReply | Deleted | Inspected] = []
         if world.troubled:
             self.machines.fleet = ScriptedCloud(self)  # type: ignore[assignment]
         self.group = Group(self)
@@ -615,7 +628,7 @@
 @pytest.mark.usefixtures("wall_clock")
 def test_a_cancelled_task_is_gone_in_time_though_its_owner_ends_in_an_outage() -> None:
     """A machine hangs with a cancelled task, its owner is a process that has not read the tables yet, and the state
-    service is down for longer than `cancel_s`: nobody may delete the machine. Listed in KNOWN-RED.txt."""
+    service is down for longer than `cancel_s`: the other controller deletes the machine, which it does not own."""
     assert play(24, 800, troubled=True).happened["cancelled on a hung machine"]
 
 
