Direct commands in a module of their own, one waiting for each machine

Cause: each task to be stopped started a command of its own; a wave of cancellations on thousands of machines made as many waiting calls, each of which carries all that is to be told. And each cancelled job looked at each machine. Change: actors/commands.py owns commands and inspections; the jobs on machines are collected once for all cancelled ones.

--- a/tests/test_cancellation_guard.py
+++ b/tests/test_cancellation_guard.py
@@ -8,8 +8,8 @@
 import pytest
 
 from sloeswitch.actors import machines as machines_module
+from sloeswitch.actors.commands import Inspected
 from sloeswitch.actors.fleet import Fleet
-from sloeswitch.actors.machines import Inspected
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellation_guard import MOST_FAILURES, OVERDUE, CancellationGuard
 from sloeswitch.core.cancellations import Cancellation
