--- a/sloeswitch/actors/claim_planner.py
+++ b/sloeswitch/actors/claim_planner.py
@@ -8,14 +8,28 @@
 from sloeswitch.actors.jobs import ClaimRequest
 from sloeswitch.core import placement, quota, ready, taskset
 from sloeswitch.core.tables import Job
+from sloeswitch.wire import JobSpec
 
 if TYPE_CHECKING:
     from sloeswitch.actors.machines import Machines
 
+# How many machines a processor core looks at in a second, at the least, when work is placed on paper. A look takes no
+# more than a quarter of the time between two reports for it, once it has found all that one transaction can claim.
+ROOMS_PER_CORE_S = 200_000
+LOOK_SHARE = 0.25
 # A job that nobody has claimed of is left to the controller at which its image is for so many ticks.
 HOME_TICKS = 2
 
 
+Shape = tuple[float, float, float, tuple[str, ...] | None, str | None, bool]
+
+
+def shape_of(spec: JobSpec) -> Shape:
+    """What decides whether one task of a job fits a machine."""
+    types = None if spec.types is None else tuple(spec.types)
+    return spec.cores, spec.gpus, spec.memory, types, spec.zone, spec.spot
+
+
 class ClaimPlanner:
     """Goes through the line once, taking room on paper as it goes.
 
@@ -34,6 +48,11 @@
         self.spare = {team.name: machines._spare(team, self.useful[team.name]) for team in teams.values()}
         self.ahead_cores = machines._cores_ahead()
         self.max_jobs = max(1, machines.client.txn_ops // 2)
+        settings = machines.settings
+        self.max_rooms_seen = LOOK_SHARE * ROOMS_PER_CORE_S * settings.cores * settings.report_s
+        self.rooms_seen = 0
+        # What fitted no machine on paper; room only becomes less.
+        self.no_room: set[Shape] = set()
         # By job: what was placed on paper.
         self.taken: dict[str, int] = {}
         self.request = ClaimRequest()
@@ -43,10 +62,25 @@
         for job in ready.dealt(line, controllers, turn, self.machines._at_home):
             if not self.rooms and self.ahead_cores < self.machines.least_cores:
                 break  # nobody further back can get anything: with a backlog the line is long, and looked at often
+            if len(self.request.wants) >= self.max_jobs and self.rooms_seen > self.max_rooms_seen:
+                # Guards against a look that takes seconds: with thousands of machines empty and hundreds of jobs in
+                # the line it outlasted the controller's lease.
+                self._keep_allowances()
+                break
             if job.spec.team in self.useful and not self._left_to_others(job):
                 self._consider(job)
         return self.request
 
+    def _keep_allowances(self) -> None:
+        """What the teams have may be of use to jobs further back that are not looked at, as far as there is room."""
+        free_cores = sum(room.cores for room in self.rooms)
+        free_gpus = sum(room.gpus for room in self.rooms)
+        for team, use in self.useful.items():
+            cores, gpus = self.machines._allowance(team)
+            self.useful[team] = quota.Use(
+                max(use.cores, min(cores, use.cores + free_cores)), max(use.gpus, min(gpus, use.gpus + free_gpus))
+            )
+
     def _left_to_others(self, job: Job) -> bool:
         """A new job is left to the controller at which its image is, for as long as a claim takes."""
         machines = self.machines
@@ -97,13 +131,18 @@
         """Takes room for at most so many tasks, those claimed already included: the set of those that found it."""
         spec = job.spec
         trial = [placement.Room(**vars(room)) for room in usable] if spec.gang else usable
-        if not trial:
+        shape = shape_of(spec)
+        if not trial or shape in self.no_room:
+            self.taken.setdefault(spec.id, 0)
             return 0
+        self.rooms_seen += len(trial)
         # Where tasks are bound to zones it matters which ones: the oldest may have no room where others have.
         tasks = open_tasks if spec.bound else taskset.lowest(open_tasks, max(0, count - idle.bit_count()))
         zone = self.request.zones.get(spec.id)
         found = placement.place(job, tasks | taskset.lowest(idle, count), trial, zone, count)
         placed = sum(1 << index for index, _ in found)
+        if not found and len(trial) == len(self.rooms) and not spec.bound:
+            self.no_room.add(shape)
         self.taken[spec.id] = placed
         if placed:
             self.rooms = self.machines._roomy(self.rooms)
--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -30,6 +30,12 @@
 log = logging.getLogger("fleet")
 
 
+# A list begins so many times as long after the one before as that one took, so that at most a third of the cloud's rate
+# goes into lists. Guards against a fleet of thousands, whose list takes longer than the pause between two of them:
+# nothing but lists was asked for, and one booking fell in between.
+LIST_PAUSE = 3.0
+
+
 @dataclass
 class Expected:
     """A machine that was rented and is not registered yet."""
@@ -61,6 +67,8 @@
         self.wake = anyio.Event()
         self.bookings = 0
         self.listed_at = float("-inf")
+        # How long the last list took: thousands of machines are many pages, and the cloud's rate paces them.
+        self.listing_s = 0.0
         self.catalog_at = float("-inf")
         self.idle_since: dict[str, float] = {}
 
@@ -184,11 +192,12 @@
 
     async def _list(self) -> None:
         now = self.now()
-        if now - self.listed_at < self.settings.list_lag_s / 2:
+        if now - self.listed_at < max(self.settings.list_lag_s / 2, LIST_PAUSE * self.listing_s):
             return
         self.listed_at = now
         listed = await self.cloud.machines()
-        lag = 2.5 * self.settings.list_lag_s
+        self.listing_s = self.now() - now
+        lag = 2.5 * self.settings.list_lag_s + self.listing_s
         for item in listed:
             if item.id in self.tables.deleted or item.id in self.returning:
                 continue
@@ -235,7 +244,8 @@
             self.expected[machine] = Expected(choice.kind, now)
         log.info("rented %d of %d %s in %s%s", len(rented or ()), choice.count, kind_name, zone,
                  " (spot)" if spot else "")  # fmt: skip
-        return self.standing.coordinating and now - self.listed_at < self.settings.list_lag_s
+        list_again_s = max(self.settings.list_lag_s, LIST_PAUSE * self.listing_s)
+        return self.standing.coordinating and now - self.listed_at < list_again_s
 
     def _registered(self) -> dict[Kind, int]:
         supply: dict[Kind, int] = {}
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -65,7 +66,15 @@
     """Machines with room for the job, best first: those that no other job needs more, those that have its image,
     so that it is not fetched again, then spot machines and the fullest ones, so that the dear and the empty can be
     returned."""
-    found = [room for room in rooms if allowed(spec, room) and room.count(spec) > 0]
+    # The same as Room.count() > 0, without a call for each machine: thousands are looked at for each job.
+    least_cores, least_gpus, least_memory = (
+        amount - SLACK if amount > 0 else -math.inf for amount in (spec.cores, spec.gpus, spec.memory)
+    )
+    found = [
+        room for room in rooms
+        if room.cores >= least_cores and room.memory >= least_memory and room.gpus >= least_gpus
+        and allowed(spec, room)
+    ]  # fmt: skip
     found.sort(key=lambda room: (room.scarce, spec.image not in room.images, not room.spot, room.cores))
     return found
 
--- a/sloeswitch/core/rendezvous.py
+++ b/sloeswitch/core/rendezvous.py
@@ -7,7 +7,9 @@
 from hashlib import blake2b
 
 
-@lru_cache(maxsize=4096)
+# Names asked about under one view: some thousand machines, and the images. One name more than there are places would
+# have a pass over all of them miss each time.
+@lru_cache(maxsize=1 << 15)
 def owner(machine: str, members: tuple[tuple[str, int], ...]) -> str | None:
     best: tuple[bytes, str] | None = None
     for member, _boot in members:
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that several test files share."""
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,178 @@
+"""One controller alone with a fleet of scripted machines: take-over, reports, a wave of cancellations, deletions.
+
+The machines' former owner is gone. Nothing is timed here; `python3 -m tests.support.fleet MACHINES` prints how long
+each phase takes on this computer, and how much memory the process holds.
+"""
+
+from __future__ import annotations
+
+import resource
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from sloeswitch import wire
+from sloeswitch.actors.machines import Deleted, Heartbeat
+from sloeswitch.core import tables as t
+from sloeswitch.state import Outcome, Urgency
+from tests.conftest import SETTINGS, Store, spec
+from tests.test_actors import World
+
+TASKS_OF_A_MACHINE = 2
+MACHINES_OF_A_JOB = 50
+FORMER_TAG = "c1.2"
+
+
+def machine_name(number: int) -> str:
+    return f"vm-{number:06d}"
+
+
+def job_name(number: int) -> str:
+    return f"wk-{number:06d}"
+
+
+class FleetWorld(World):
+    """Controller c0.1, and machines that c1.2 owned until it ended."""
+
+    def __init__(self, machines: int) -> None:
+        text = SETTINGS.replace("fd_limit = 500", f"fd_limit = {2 * machines}")
+        text = text.replace("cpus_max = 20.0", f"cpus_max = {80.0 * machines}")
+        store = Store()
+        store.types()
+        store.upgraded()
+        super().__init__(store, text)
+        self.machine_count = machines
+        self.commands: list[tuple[Callable[..., Any], tuple[Any, ...]]] = []
+        self.transactions: list[tuple[int, int]] = []
+        self._watch_commits()
+        self.machines.commands.spawn = lambda call, *args: self.commands.append((call, args))
+        rows = {machine_name(n): ["127.0.0.1:9000", "small", "a", True] for n in range(machines)}
+        for number, group in enumerate(t.fit_groups(rows, self.settings.value_bytes)):
+            store.put(t.group_key(f"{FORMER_TAG}.{number}"), {"m": group})
+        self.jobs_count = -(-machines // MACHINES_OF_A_JOB)
+        size = MACHINES_OF_A_JOB * TASKS_OF_A_MACHINE
+        for number in range(self.jobs_count):
+            store.job(spec(job_name(number), visits=size, cores=1.0))
+            store.progress(job_name(number), **{FORMER_TAG.replace(".", "_"): (1 << size) - 1})
+        store.put(t.team_key("red"), {FORMER_TAG: [4.0 * machines, 0.0]})
+        self.serials = dict.fromkeys(rows, 0)
+
+    def _watch_commits(self) -> None:
+        commit = self.client.commit
+
+        async def watched(conditions: Any, writes: Any, drops: Any, urgency: Any, **more: Any) -> tuple[Outcome, int]:
+            self.transactions.append((len(writes) + len(drops), len(wire.commit_body(conditions, writes, drops, {}))))
+            return await commit(conditions, writes, drops, urgency, **more)
+
+        self.client.commit = watched  # type: ignore[method-assign, assignment]
+
+    def tasks_of(self, number: int) -> list[str]:
+        job, place = divmod(number, MACHINES_OF_A_JOB)
+        first = place * TASKS_OF_A_MACHINE
+        return [wire.task_name(job_name(job), first + index) for index in range(TASKS_OF_A_MACHINE)]
+
+    def renew(self) -> None:
+        """The lease is renewed and the tables are read afresh."""
+        self.standing.renewed_at = self.replica.fresh_at = self.clock.time
+
+    async def report(self, number: int, token: int) -> int:
+        """A machine reports its tasks as running; the status of the answer."""
+        name = machine_name(number)
+        self.serials[name] += 1
+        items = [wire.ReportedTask(task, 7, "running") for task in self.tasks_of(number)]
+        message = Heartbeat(
+            report=wire.Report(name, "127.0.0.1:9000", "small", "a", True, 1, self.serials[name], token, items),
+            received=True,
+        )
+        await self.machines.handle(message)
+        return int(message.answer.status)
+
+    def report_all(self, token: int) -> set[int]:
+        """Every machine reports once; which statuses were answered."""
+
+        async def report_each() -> set[int]:
+            return {await self.report(number, token) for number in range(self.machine_count)}
+
+        return anyio.run(report_each)
+
+    def tick(self) -> None:
+        self.machines.watch_at = 0.0
+        self.machines.requesting = True  # no claims: only what is there already counts
+        self.machines._tick()
+
+    def store_all(self) -> int:
+        """Rounds until nothing is left to be stored; how many there were."""
+        rounds = 0
+        while True:
+            before = len(self.transactions)
+            while self.machines.jobs._inbox:
+                anyio.run(self.machines.jobs.handle, self.machines.jobs._inbox.popleft())
+            anyio.run(self.jobs._round)
+            if len(self.transactions) == before:
+                return rounds
+            rounds += 1
+
+    def take_over(self) -> None:
+        """The former owner is gone: all machines are this controller's, and report under its token."""
+        self.store.view(4, ("c0", 1))
+        self.renew()
+        self.tick()
+        self.report_all(0)
+        self.report_all(4)
+
+    def cancel_all(self) -> None:
+        """Every job is cancelled at once, by rows that other controllers wrote."""
+        for number in range(self.jobs_count):
+            key = t.job_key(job_name(number))
+            self.store.put(key, {**self.store.rows[key][0], "s": t.WITHDRAWN, "x": int(self.clock.time * 1000)})
+
+    def delete_all(self) -> int:
+        """All machines are deleted; how many transactions take them out of what is stored."""
+        names = [machine_name(number) for number in range(self.machine_count)]
+        for start in range(0, len(names), 100):
+            anyio.run(self.machines.handle, Deleted(names[start : start + 100]))
+        before = len(self.transactions)
+        registration = self.machines.registration
+
+        async def unregister() -> None:
+            while transaction := registration._removals():
+                await self.client.commit(
+                    transaction.conditions, transaction.writes, transaction.drops, Urgency.PROGRESS
+                )
+
+        anyio.run(unregister)
+        return len(self.transactions) - before
+
+
+def main(machines: int) -> None:
+    """Prints the time of each phase, and the memory held."""
+
+    def timed(title: str, call: Callable[[], Any]) -> None:
+        started = time.perf_counter()
+        result = call()
+        print(f"{title:34} {time.perf_counter() - started:8.3f} s  {result if result is not None else ''}")
+
+    def settle() -> str:
+        rounds = world.store_all()
+        sizes = [size for _, size in world.transactions]
+        return f"{rounds} transactions, the largest {max(sizes, default=0)} bytes, {sum(sizes)} in all"
+
+    world = FleetWorld(machines)
+    timed("take-over, all machines heard", world.take_over)
+    timed("adoptions stored", settle)
+    timed("tick", world.tick)
+    timed("tick", world.tick)
+    timed("unchanged reports of all machines", lambda: world.report_all(4))
+    world.cancel_all()
+    timed("tick with everything cancelled", world.tick)
+    timed("tick with everything cancelled", world.tick)
+    print(f"{len(world.commands)} commands")
+    timed("all machines deleted", lambda: f"{world.delete_all()} transactions")
+    print(f"memory {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:.0f} MB, tests and world included")
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]))
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,167 @@
+"""One controller alone with four thousand machines: bounds on messages, on what is stored, and on calls."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import anyio
+import pytest
+
+from sloeswitch import wire
+from sloeswitch.actors import machines as machines_module
+from sloeswitch.actors.claim_planner import ClaimPlanner
+from sloeswitch.actors.fleet import Fleet
+from sloeswitch.cloud import CloudClient
+from sloeswitch.core import placement
+from sloeswitch.core import tables as t
+from sloeswitch.core.rendezvous import owner
+from sloeswitch.http import Reply
+from tests.conftest import MACHINE_TYPE, spec
+from tests.support.fleet import FleetWorld, machine_name
+from tests.test_actors import Clock
+
+MACHINES = 4000
+PAGE = 500
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> Iterator[FleetWorld]:
+    world = FleetWorld(MACHINES)
+    monkeypatch.setattr(machines_module, "wall_ms", lambda: int(world.clock.time * 1000))
+    world.take_over()
+    yield world
+
+
+def test_a_take_over_stores_all_adoptions_in_few_changes_and_settles(fleet: FleetWorld) -> None:
+    rounds = fleet.store_all()
+    assert rounds == 1 and all(size < wire.MAX_BODY for _, size in fleet.transactions)
+    fleet.tick()
+    claims = [job.progress.claims for job in fleet.store.tables.jobs.values()]
+    assert all(set(held) == {"c0.1"} for held in claims) and len(claims) == fleet.jobs_count
+    assert fleet.machines.registry.settled(fleet.store.tables, "c0.1")
+    assert fleet.store.tables.allowances["red"]["c0.1"] == (2.0 * MACHINES, 0.0)
+
+
+def test_a_wave_of_cancellations_makes_one_command_for_each_machine(fleet: FleetWorld) -> None:
+    fleet.store_all()
+    fleet.cancel_all()
+    fleet.tick()
+    fleet.tick()
+    assert len(fleet.commands) == MACHINES
+    assert fleet.report_all(4) == {200}
+
+
+def test_all_machines_are_taken_out_of_what_is_stored_in_few_transactions(fleet: FleetWorld) -> None:
+    groups = len(fleet.store.tables.groups)
+    transactions = fleet.delete_all()
+    assert transactions <= -(-groups // 4) + 1
+    assert not fleet.store.tables.machines and not fleet.store.tables.groups
+    assert all(size < wire.MAX_BODY for _, size in fleet.transactions)
+
+
+def test_a_look_for_claims_is_bounded_and_gives_no_allowance_back(fleet: FleetWorld) -> None:
+    """Four thousand machines with room, and five hundred jobs that want it."""
+    fleet.store_all()
+    fleet.store.put(t.team_key("red"), {"c0.1": [78.0 * MACHINES, 0.0]})
+    for number in range(500):
+        fleet.store.job(spec(f"wk-{900000 + number}", visits=100, cores=1.0))
+    fleet.tick()
+    machines = fleet.machines
+    machines.met = {job.spec.id: fleet.clock.time - 100 for job in machines.line}
+    planner = ClaimPlanner(machines, fleet.clock.time)
+    request = planner.plan(machines.line, 1, 0)
+    assert len(request.wants) == planner.max_jobs
+    assert planner.rooms_seen <= planner.max_rooms_seen + planner.max_jobs * MACHINES
+    # What the jobs further back could use is not reckoned, and yet no surplus as far as there is room for it.
+    for later_s in (0.0, 3 * fleet.settings.report_s):
+        machines._request_allowances(request, planner.useful, 1, fleet.clock.time + later_s)
+    _, cores, _ = request.shrink["red"]
+    assert 0.95 * 8.0 * MACHINES < cores < 1.05 * 8.0 * MACHINES
+
+
+def test_jobs_that_fit_nowhere_cost_one_look_for_each_shape(fleet: FleetWorld, monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet.store_all()
+    for number in range(50):
+        fleet.store.job(spec(f"wk-{900000 + number}", visits=3, cores=7.0))
+    fleet.store.job(spec("wk-800000", visits=3, cores=1.0))
+    fleet.tick()
+    machines = fleet.machines
+    machines.met = {job.spec.id: fleet.clock.time - 100 for job in machines.line}
+    looks = 0
+    place = placement.place
+
+    def counted(*args: Any) -> Any:
+        nonlocal looks
+        looks += 1
+        return place(*args)
+
+    monkeypatch.setattr(placement, "place", counted)
+    planner = ClaimPlanner(machines, fleet.clock.time)
+    planner.plan(machines.line, 1, 0)
+    # The one that fits stands in the line twice, having waited for long.
+    assert looks == 3 and planner.taken["wk-800000"]
+
+
+class PacedCloud:
+    """A cloud of many machines; each call takes the time that its rate allows."""
+
+    def __init__(self, clock: Clock, rate: float) -> None:
+        self.clock = clock
+        self.rate = rate
+        self.calls: list[str] = []
+
+    async def request(self, method: str, path: str, body: bytes | None, timeout_s: float) -> Reply:
+        self.clock.time += 1 / self.rate
+        self.calls.append("list" if path.startswith("/machines?") else "rent")
+        if method == "POST":
+            count = wire.decode(body or b"", wire.Booking).count
+            return Reply(200, wire.encode(wire.Booked([f"new-{len(self.calls)}-{n}" for n in range(count)])))
+        _, _, after = path.partition("&after=")
+        first = int(after.removeprefix("vm-")) + 1 if after else 0
+        hosts = [
+            wire.Listed(machine_name(number), "127.0.0.1:9000", "small", "a", True, "running", 99.0)
+            for number in range(first, min(first + PAGE, MACHINES))
+        ]
+        return Reply(200, wire.encode(wire.Listing(hosts, first + PAGE < MACHINES)))
+
+
+def test_lists_of_many_pages_leave_most_of_the_rate_to_bookings(
+    fleet: FleetWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A full list takes as long as eight calls; a day's first thousands must not be rented one booking a list."""
+    cloud = CloudClient(fleet.settings, lambda: True, fleet.clock)
+    paced = PacedCloud(fleet.clock, fleet.settings.cloud_rps)
+    cloud.http = paced  # type: ignore[assignment]
+    monkeypatch.setattr(cloud.bucket, "wait_s", lambda *_: 0.0)
+    renting = Fleet(fleet.settings, fleet.client, cloud, fleet.replica, fleet.standing, fleet.clock)
+    renting.types = {"small": MACHINE_TYPE}
+    fleet.store.put(t.COORD, {"member": "c0", "boot": 1})
+    for number in range(400):
+        fleet.store.job(spec(f"wk-{900000 + number}", visits=1000, cores=1.0))
+    monkeypatch.setattr("sloeswitch.actors.fleet.time.time", lambda: fleet.clock.time)
+    until = fleet.clock.time + 200 / paced.rate
+
+    async def rent() -> None:
+        while fleet.clock.time < until:
+            fleet.renew()
+            await renting._list()
+            while await renting._rent():
+                fleet.renew()
+            fleet.clock.time += fleet.settings.list_lag_s / 10
+
+    anyio.run(rent)
+    assert paced.calls.count("list") <= 0.4 * len(paced.calls)
+    assert paced.calls.count("list") >= 2 * MACHINES // PAGE
+
+
+def test_owners_of_all_machines_stay_remembered(fleet: FleetWorld) -> None:
+    """A second pass over all of them computes nothing anew."""
+    members = (("c0", 1), ("c1", 2))
+    names = [machine_name(number) for number in range(3 * MACHINES)]
+    for name in names:
+        owner(name, members)
+    before = owner.cache_info().misses
+    for name in names:
+        owner(name, members)
+    assert owner.cache_info().misses == before
