Handoffs between cells: rows, messages and decisions, every order of events enumerated

Nothing of it is on in a controller. tests/support/handoff_model.py plays every order of lost, late and repeated messages and changes without an answer.

--- /dev/null
+++ b/tests/support/handoff_model.py
@@ -0,0 +1,210 @@
+"""Every order of events of one job's handoffs, by enumeration.
+
+A state is what the origin and the target have stored, and every message that was ever sent. Messages are never taken
+off the network, so that each may be lost (never delivered), late, and delivered again at any time. Neither side keeps
+anything that is not stored, so that a crash of either is the event that does not happen, and a stored change whose
+answer was lost is one that happened. Changes are conditional on what was read, so that one that is carried out late
+either is the event itself, or fails.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from sloeswitch.cells import delegation as target_side
+from sloeswitch.cells import handoff as origin_side
+from sloeswitch.cells.delegation import TargetRecord
+from sloeswitch.cells.handoff import OriginRow, Result
+from sloeswitch.cells.messages import ENDED, AnswerMessage, RequestMessage
+from sloeswitch.cells.policy import MovePolicy
+
+ORIGIN, TARGET, JOB = "north", "south", "wk-000001"
+HOME = 0
+NOTHING_STORED = TargetRecord()
+
+
+class BrokenRuleError(AssertionError):
+    """A rule of docs/cells.md does not hold after an event."""
+
+
+@dataclass(frozen=True)
+class State:
+    """What is stored in both cells, what was sent, and what happened."""
+
+    row: OriginRow
+    record: TargetRecord = NOTHING_STORED
+    requests: frozenset[RequestMessage] = frozenset()
+    answers: frozenset[AnswerMessage] = frozenset()
+    numbers: int = 0
+    running_at_home: bool = False
+    # Where tasks of the job ever began: HOME, or the number of a handoff.
+    began: frozenset[int] = frozenset()
+    completed: bool = False
+    # What its user was told.
+    told: Result | None = None
+
+    @property
+    def over(self) -> bool:
+        """Whether the job has ended, and nothing of it is on record anywhere else."""
+        return self.row.result is not None and not self.row.placements and self.record.delegation is None
+
+
+@dataclass(frozen=True)
+class Model:
+    """The events that may follow a state. `most_numbers`: how often the job is moved at the most."""
+
+    policy: MovePolicy
+    most_numbers: int = 2
+
+    @property
+    def start(self) -> State:
+        """The job was accepted."""
+        return State(OriginRow(ORIGIN, JOB, self.policy))
+
+    def next_states(self, state: State) -> Iterator[tuple[str, State]]:
+        """Each event that may happen, and the state after it."""
+        yield from self._origin_events(state)
+        yield from self._target_events(state)
+        for request in state.requests:
+            for room in (True, False):
+                yield f"delivered {request} room={room}", self._deliver_request(state, request, room)
+        for answer in state.answers:
+            yield f"delivered {answer}", self._deliver_answer(state, answer)
+
+    def _origin_events(self, state: State) -> Iterator[tuple[str, State]]:
+        row = state.row
+        if state.numbers < self.most_numbers and origin_side.can_move(row, TARGET, not state.running_at_home):
+            number = state.numbers + 1
+            yield "moved", replace(state, row=origin_side.move(row, TARGET, number), numbers=number)
+        for wanted_back in (False, True):
+            sent = frozenset(message for _, message in origin_side.requests(row, wanted_back))
+            if not sent <= state.requests:
+                yield f"asked wanted_back={wanted_back}", replace(state, requests=state.requests | sent)
+        if row.startable and not state.running_at_home:
+            began = replace(state, row=origin_side.begin_at_home(row), running_at_home=True)
+            yield "began at home", self._begun(began, HOME)
+        if state.running_at_home:
+            yield "returned at home", replace(state, running_at_home=False)
+            ended = origin_side.end_at_home(row)
+            yield "done at home", replace(state, row=ended, running_at_home=False, completed=True)
+        if row.policy is MovePolicy.REPEATABLE and row.away is not None:
+            yield "taken back", replace(state, row=origin_side.take_back(row))
+        if row.result is None and not row.cancelling:
+            yield "cancellation", replace(state, row=origin_side.request_cancellation(row))
+        if row.result is not None and state.told is None:
+            # What runs at home is stopped by the cell's own means once the result is stored.
+            yield "told", replace(state, told=row.result, running_at_home=False)
+
+    def _target_events(self, state: State) -> Iterator[tuple[str, State]]:
+        held = state.record.delegation
+        if held is None:
+            return
+        if held.startable:
+            begun = replace(state, record=replace(state.record, delegation=held.begin()))
+            yield "began at target", self._begun(begun, held.handoff.number)
+        for event, after in (("given back", held.give_back()), ("stopped", held.stopped())):
+            if after != held:
+                yield event, replace(state, record=replace(state.record, delegation=after))
+        if held.state is target_side.DelegationState.BEGUN:
+            done = replace(state.record, delegation=held.complete())
+            yield "done at target", replace(state, record=done, completed=True)
+
+    @staticmethod
+    def _begun(state: State, place: int) -> State:
+        if state.told is Result.CANCELLED:
+            raise BrokenRuleError("a task began after the cancellation was confirmed")
+        return replace(state, began=state.began | {place})
+
+    @staticmethod
+    def _deliver_request(state: State, message: RequestMessage, room: bool) -> State:
+        decision = target_side.decide(state.record, message.handoff, message.request, room)
+        answers = state.answers
+        if decision.answer in ENDED:  # the others change nothing at the origin
+            answers |= {AnswerMessage(message.handoff, TARGET, decision.answer)}
+        return replace(state, record=decision.record, answers=answers)
+
+    @staticmethod
+    def _deliver_answer(state: State, message: AnswerMessage) -> State:
+        row = origin_side.learn(state.row, message)
+        acknowledgement = origin_side.acknowledgement(message)
+        requests = state.requests if acknowledgement is None else state.requests | {acknowledgement}
+        return replace(state, row=row, requests=requests)
+
+
+def check(state: State, before: State) -> None:
+    """The rules of docs/cells.md for one event."""
+    row, held = state.row, state.record.delegation
+    if row.policy is not MovePolicy.REPEATABLE and len(state.began) > 1:
+        raise BrokenRuleError("a job that may begin in one cell began in several")
+    if row.policy is MovePolicy.NEVER and state.numbers:
+        raise BrokenRuleError("a job that stays was moved")
+    if before.row.result is not None and row.result is not before.row.result:
+        raise BrokenRuleError("the result changed")
+    if row.result is Result.DONE and not state.completed:
+        raise BrokenRuleError("called done and is not")
+    if state.told is Result.CANCELLED and held is not None and not held.final:
+        raise BrokenRuleError("cancelled, and a task may start or be on a machine elsewhere")
+    if row.away is None and row.result is None and not row.recalls and held is not None and held.startable:
+        raise BrokenRuleError("the target may start what the origin does not know of")
+
+
+@dataclass(frozen=True)
+class Exploration:
+    """All states that can be reached, and those from which the job cannot end any more."""
+
+    states: int
+    stuck: int
+
+
+def explore(model: Model) -> Exploration:
+    """Plays every order of events; raises BrokenRuleError with the events that lead to a broken rule."""
+    start = model.start
+    came_from: dict[State, tuple[State, str] | None] = {start: None}
+    leads_to: dict[State, list[State]] = {}
+    queue = deque([start])
+    while queue:
+        state = queue.popleft()
+        try:
+            for event, after in model.next_states(state):
+                check(after, state)
+                leads_to.setdefault(after, []).append(state)
+                if after not in came_from:
+                    came_from[after] = (state, event)
+                    queue.append(after)
+        except BrokenRuleError as error:
+            raise BrokenRuleError(f"{error}, after {_path(came_from, state)}") from None
+    return Exploration(len(came_from), len(came_from) - len(_ending(came_from, leads_to)))
+
+
+def _path(came_from: dict[State, tuple[State, str] | None], state: State) -> list[str]:
+    events: list[str] = []
+    step = came_from[state]
+    while step is not None:
+        events.append(step[1])
+        step = came_from[step[0]]
+    return events[::-1]
+
+
+def _ending(states: dict[State, tuple[State, str] | None], leads_to: dict[State, list[State]]) -> set[State]:
+    """States from which some order of events ends the job in both cells."""
+    ending = {state for state in states if state.over}
+    queue = deque(ending)
+    while queue:
+        for before in leads_to.get(queue.popleft(), ()):
+            if before not in ending:
+                ending.add(before)
+                queue.append(before)
+    return ending
+
+
+def main() -> None:
+    """Plays every order of events of up to two handoffs, for each policy; the longest takes half a minute."""
+    for policy in MovePolicy:
+        found = explore(Model(policy))
+        print(f"{policy.value}: {found.states} states, {found.stuck} from which the job cannot end")
+
+
+if __name__ == "__main__":
+    main()
