When a job moves to another cell: summaries and the choice, as pure functions

A job moves that would miss its next target here and make it there, with a margin on both sides; two saturated cells move nothing; room is given once, and a stated number is under way to a peer.

--- /dev/null
+++ b/sloeswitch/cells/selection.py
@@ -0,0 +1,157 @@
+"""Which jobs move, and where: those that would miss their next target here and make it there."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from sloeswitch.cells.summary import Resources, Summary, task_resources
+from sloeswitch.core.ready import outlook
+from sloeswitch.core.tables import Job, Tables
+from sloeswitch.settings import Settings
+from sloeswitch.wire import JobSpec
+
+
+@dataclass(frozen=True)
+class MoveLimits:
+    """How cautiously jobs are moved."""
+
+    # A job must be late here, and in time there, by this much more.
+    margin_s: float
+    # What passes until the target has stored the job: the message, its answer, and a controller's next look.
+    transfer_s: float
+    # Jobs under way to one peer.
+    most_under_way: int
+
+
+def limits_of(settings: Settings, most_under_way: int) -> MoveLimits:
+    """The limits that follow from a cell's settings."""
+    return MoveLimits(settings.lease_s, settings.controller_lease_s + settings.report_s, most_under_way)
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """A job of the line that may move, and what is expected of it here."""
+
+    spec: JobSpec
+    # Until its next target; None when it has none that can be met.
+    left_s: float | None
+    # Until all of it would be done here.
+    here_s: float
+
+
+@dataclass(frozen=True)
+class Move:
+    """A job that is to be offered to a cell."""
+
+    job: str
+    cell: str
+
+
+def candidates(
+    line: Iterable[Job], movable: set[str], tables: Tables, settings: Settings, wall_ms: int
+) -> list[Candidate]:
+    """The jobs of the line that may move, in its order, each with the work before it reckoned in."""
+    cores = sum(tables.types[row.type].cores for row in tables.machines.values() if row.type in tables.types)
+    settled = tables.all_settled()
+    free = cores - _claimed_cores(tables)
+    ahead_core_s = 0.0
+    found: list[Candidate] = []
+    seen: set[str] = set()
+    for job in line:
+        spec = job.spec
+        if spec.id in seen:
+            continue  # it stands in the line twice
+        seen.add(spec.id)
+        waiting_cores = tables.open_tasks(job, settled).bit_count() * spec.cores
+        work_core_s = waiting_cores * spec.estimate_s
+        wait_s = 0.0
+        if free < waiting_cores:
+            wait_s = (ahead_core_s + work_core_s) / cores if cores > 0 else math.inf
+        free -= waiting_cores
+        ahead_core_s += work_core_s
+        if spec.id in movable:
+            age_s = (wall_ms - job.submitted_ms) / 1000
+            _, start_by_s = outlook(job, settings.objectives, age_s)
+            left_s = None if start_by_s is None else start_by_s + spec.estimate_s - age_s
+            found.append(Candidate(spec, left_s, wait_s + spec.estimate_s))
+    return found
+
+
+def _claimed_cores(tables: Tables) -> float:
+    return sum(
+        (job.progress.claimed() & ~job.progress.done).bit_count() * job.spec.cores for job in tables.jobs.values()
+    )
+
+
+def may_move_by_shape(spec: JobSpec) -> bool:
+    """Whether nothing in the job binds it to its cell: a zone's name means another zone elsewhere."""
+    return spec.zone is None
+
+
+def done_there_s(spec: JobSpec, peer: Summary, free: Resources, limits: MoveLimits) -> float | None:
+    """Until all of the job would be done in another cell; None when it has no place there now."""
+    task = task_resources(spec)
+    pools = [pool for pool in peer.pools if pool.suits(spec)]
+    if not pools or peer.saturated:
+        return None
+    team = peer.room_of_team(spec.team)
+    machines = sum(pool.machines * task.times_in(pool.size) for pool in pools)
+    at_once = min(spec.tasks, machines, task.times_in(free), task.times_in(team))
+    if at_once < (spec.tasks if spec.gang else 1):
+        return None
+    fetch_gb_s = min(pool.fetch_gb_s for pool in pools)
+    fetch_s = spec.image_gb / fetch_gb_s if fetch_gb_s > 0 else 0.0
+    return limits.transfer_s + fetch_s + math.ceil(spec.tasks / at_once) * spec.estimate_s
+
+
+def choose(
+    found: Iterable[Candidate], peers: Iterable[Summary], under_way: dict[str, int], limits: MoveLimits
+) -> list[Move]:
+    """The moves to make now. What is given to one job is not given to the next by the same summaries."""
+    rooms = {peer.cell: peer for peer in peers}
+    counts = dict(under_way)
+    moves: list[Move] = []
+    for candidate in found:
+        spec = candidate.spec
+        if candidate.left_s is None or not may_move_by_shape(spec):
+            continue
+        if candidate.here_s <= candidate.left_s + limits.margin_s:
+            continue
+        best = _best_peer(candidate, rooms, counts, limits)
+        if best is None:
+            continue
+        moves.append(Move(spec.id, best))
+        counts[best] = counts.get(best, 0) + 1
+        rooms[best] = _taken(rooms[best], spec)
+    return moves
+
+
+def _best_peer(
+    candidate: Candidate, rooms: dict[str, Summary], counts: dict[str, int], limits: MoveLimits
+) -> str | None:
+    """The cell in which the job would be done first, if that is well in time."""
+    best: tuple[float, str] | None = None
+    for cell, peer in sorted(rooms.items()):
+        if counts.get(cell, 0) >= limits.most_under_way:
+            continue
+        done_s = done_there_s(candidate.spec, peer, peer.free, limits)
+        assert candidate.left_s is not None
+        if done_s is None or done_s + limits.margin_s > candidate.left_s:
+            continue
+        if best is None or (done_s, cell) < best:
+            best = (done_s, cell)
+    return None if best is None else best[1]
+
+
+def _taken(peer: Summary, spec: JobSpec) -> Summary:
+    """The summary with the job's room taken from it."""
+    task = task_resources(spec)
+    count = min(spec.tasks, task.times_in(peer.free))
+    free = peer.free.plus(task, -count)
+    teams = tuple(
+        (name, cores - count * spec.cores, gpus - count * spec.gpus) if name == spec.team else (name, cores, gpus)
+        for name, cores, gpus in peer.team_room
+    )
+    return replace(peer, free=free, team_room=teams)
--- /dev/null
+++ b/sloeswitch/cells/summary.py
@@ -0,0 +1,157 @@
+"""What a cell tells its peers about its room and its backlog, reckoned from its tables alone.
+
+Every controller of a cell reckons the same from the same tables, so that it does not matter which of them a peer asks.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from sloeswitch.core.quota import SLACK
+from sloeswitch.core.tables import Tables
+from sloeswitch.settings import Settings
+from sloeswitch.wire import JobSpec, MachineType
+
+
+@dataclass(frozen=True)
+class Resources:
+    """Amounts of what tasks take."""
+
+    cores: float = 0.0
+    gpus: float = 0.0
+    memory: float = 0.0
+
+    def plus(self, other: Resources, times: float = 1.0) -> Resources:
+        """The sum with so many times the other."""
+        return Resources(
+            self.cores + times * other.cores, self.gpus + times * other.gpus, self.memory + times * other.memory
+        )  # fmt: skip
+
+    def times_in(self, whole: Resources) -> int:
+        """How many times this fits into the whole; 0 for what takes nothing."""
+        pairs = ((self.cores, whole.cores), (self.gpus, whole.gpus), (self.memory, whole.memory))
+        counts = [int((room + SLACK) // amount) for amount, room in pairs if amount > 0 and math.isfinite(room)]
+        return max(0, min(counts, default=0))
+
+
+def task_resources(spec: JobSpec) -> Resources:
+    """What one task of a job takes."""
+    return Resources(spec.cores, spec.gpus, spec.memory)
+
+
+@dataclass(frozen=True)
+class MachinePool:
+    """Machines of one type, spot or ordinary, that a cell has up."""
+
+    type: str
+    spot: bool
+    size: Resources
+    fetch_gb_s: float
+    machines: int
+
+    def suits(self, spec: JobSpec) -> bool:
+        """Whether one task of the job may run on such a machine."""
+        allowed = spec.types is None or self.type in spec.types
+        return allowed and (spec.spot or not self.spot) and task_resources(spec).times_in(self.size) >= 1
+
+
+@dataclass(frozen=True)
+class Summary:
+    """A cell's room and backlog at one moment."""
+
+    cell: str
+    incarnation: int
+    # The epoch of the tables that it was reckoned from.
+    sequence: int
+    pools: tuple[MachinePool, ...] = ()
+    # What no task has claimed and no waiting job of the cell's own could use.
+    free: Resources = field(default_factory=Resources)
+    # Seconds that the waiting work would keep all cores busy.
+    backlog_s: float = 0.0
+    # What each team may use beyond what it has claimed and waits for: cores and accelerators.
+    team_room: tuple[tuple[str, float, float], ...] = ()
+
+    @property
+    def saturated(self) -> bool:
+        """Whether work of its own waits for room."""
+        return self.backlog_s > 0
+
+    def room_of_team(self, team: str) -> Resources:
+        """What the team may still use; nothing for a team that the cell does not know."""
+        for name, cores, gpus in self.team_room:
+            if name == team:
+                return Resources(cores, gpus, math.inf)
+        return Resources()
+
+
+def summarise(tables: Tables, settings: Settings, cell: str, incarnation: int, sequence: int) -> Summary:
+    """The summary of a cell from what its tables hold."""
+    pools = _pools(tables)
+    total = Resources()
+    for pool in pools:
+        total = total.plus(pool.size, pool.machines)
+    used, wanted = Resources(), Resources()
+    wanted_core_s = 0.0
+    teams = {name: [team.cpus_max, team.gpus_max] for name, team in settings.teams.items()}
+    settled = tables.all_settled()
+    for job in tables.jobs.values():
+        if not job.runnable:
+            continue
+        spec = job.spec
+        claimed = (job.progress.claimed() & ~job.progress.done).bit_count()
+        waiting = tables.open_tasks(job, settled).bit_count()
+        used = used.plus(task_resources(spec), claimed)
+        wanted = wanted.plus(task_resources(spec), waiting)
+        wanted_core_s += waiting * spec.cores * spec.estimate_s
+        if spec.team in teams:
+            teams[spec.team][0] -= (claimed + waiting) * spec.cores
+            teams[spec.team][1] -= (claimed + waiting) * spec.gpus
+    free = _free(total, used.plus(wanted))
+    # Work that finds room at once is no backlog.
+    over = wanted.cores > max(0.0, total.cores - used.cores)
+    backlog_s = wanted_core_s / total.cores if over and total.cores > 0 else 0.0
+    room = tuple((name, max(0.0, cores), max(0.0, gpus)) for name, (cores, gpus) in sorted(teams.items()))
+    return Summary(cell, incarnation, sequence, pools, free, backlog_s, room)
+
+
+def _free(total: Resources, taken: Resources) -> Resources:
+    left = total.plus(taken, -1.0)
+    return Resources(max(0.0, left.cores), max(0.0, left.gpus), max(0.0, left.memory))
+
+
+def _pools(tables: Tables) -> tuple[MachinePool, ...]:
+    counts: dict[tuple[str, bool], int] = {}
+    for row in tables.machines.values():
+        if row.type in tables.types:
+            counts[row.type, row.spot] = counts.get((row.type, row.spot), 0) + 1
+    return tuple(_pool(tables.types[kind], spot, count) for (kind, spot), count in sorted(counts.items()))
+
+
+def _pool(kind: MachineType, spot: bool, count: int) -> MachinePool:
+    return MachinePool(kind.name, spot, Resources(kind.cores, kind.gpus, kind.memory), kind.fetch_gb_s, count)
+
+
+@dataclass
+class SummaryBook:
+    """The last summary of each peer that may be gone by."""
+
+    max_age_s: float
+    _heard: dict[str, tuple[float, Summary]] = field(default_factory=dict)
+
+    def hear(self, summary: Summary, asked_at: float) -> bool:
+        """Takes a summary in that was asked for at this time; False for one that is older than what is known.
+
+        Guards against copies that come late, and against a cell that was restored from an old copy of its state.
+        """
+        known = self._heard.get(summary.cell)
+        if known is not None:
+            at, last = known
+            if (summary.incarnation, summary.sequence) < (last.incarnation, last.sequence) or asked_at < at:
+                return False
+        self._heard[summary.cell] = (asked_at, summary)
+        return True
+
+    def current(self, now: float) -> list[Summary]:
+        """Summaries that are young enough, by name."""
+        return [summary for _, (at, summary) in sorted(self._heard.items()) if now - at <= self.max_age_s]
