Jobs move between cells: origin, target, frames and features file, off unless turned on

A job that would be late here is offered to another cell and runs there; its user sees one job. Change: the job's row keeps its handoffs (h), the target's row the handoff that it came with (o); one floor a cell fences late copies. Origins drive handoffs from stored rows, targets answer from them after a fresh read. Without the file no row is written and no message sent.

--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -21,6 +21,7 @@
 from sloeswitch import wire
 from sloeswitch.actors.base import Actor, Ask
 from sloeswitch.actors.membership import Standing
+from sloeswitch.cells.handoff import OriginRow, request_cancellation
 from sloeswitch.core import quota, taskset
 from sloeswitch.core import tables as t
 from sloeswitch.core.tables import DONE, LIVE, WITHDRAWN, Job, Progress, Tables
@@ -79,6 +80,16 @@
     return {**value, "spec": msgspec.to_builtins(spec)}
 
 
+def stored_links(job: Job, over: bool = False) -> dict[str, Any]:
+    """What a job's row keeps of other cells, whatever else is written to it."""
+    links: dict[str, Any] = {}
+    if job.delegated is not None:
+        links["o"] = list(job.delegated)
+    if job.handoff is not None and (job.handoff.placements or not over):
+        links["h"] = t.stored_handoff(job.handoff, job.returned_ms)
+    return links
+
+
 def stored_end(status: str, spec: wire.JobSpec) -> dict[str, Any]:
     """A job that is over. The time is that from which the times of jobs that await it count."""
     return {"s": status, "n": spec.tasks, "t": int(time.time() * 1000)}
@@ -456,9 +467,9 @@
         job_key, progress_key = t.job_key(name), t.progress_key(name)
         known = {job_key: job.stamp, progress_key: job.progress_stamp}
         if job.status == LIVE and progress.done == job.everything:
-            writes[job_key] = stored_end(DONE, job.spec)
+            writes[job_key] = stored_end(DONE, job.spec) | stored_links(job, over=True)
         elif job.cancelled and not progress.claims:
-            writes[job_key] = stored_end(WITHDRAWN, job.spec)
+            writes[job_key] = stored_end(WITHDRAWN, job.spec) | stored_links(job, over=True)
         else:
             dense = self.tables.upgraded
             value = progress.stored(dense)
@@ -599,8 +610,9 @@
             await self.client.commit(conditions, {}, drops, Urgency.PROGRESS)
             self.replica.hint()
 
-    async def cancel(self, name: str) -> str | None:
-        """Cancels a job: the final status, "" when there is no such job, None when it cannot be stored now."""
+    async def cancel(self, name: str, only_unclaimed: bool = False) -> str | None:
+        """Cancels a job: the final status, "" when there is no such job, None when it cannot be stored now, or another
+        cell may still start or hold a task of it. `only_unclaimed`: not if a task of it was ever claimed."""
         for _ in range(4):
             if name in self.tables.over:
                 return self.status(name)
@@ -615,15 +627,20 @@
                 continue
             if job.cancelled:
                 return wire.CANCELLED
+            if only_unclaimed and job.progress_stamp:
+                return None
+            if job.handoff is not None and job.handoff.placements:
+                await self._request_cancellation(job, job.handoff)
+                return None
             key = t.job_key(name)
             conditions = {key: job.stamp}
             if job.progress_stamp:
-                value = stored_job(WITHDRAWN, job.spec, job.submitted_ms, job.parts)
+                value = stored_job(WITHDRAWN, job.spec, job.submitted_ms, job.parts) | stored_links(job)
                 # Whoever has its tasks then is to be done with them in time, over changes of owner too.
                 value["x"] = int(time.time() * 1000)
             else:
                 # Never claimed, so nowhere: it is over with the same change.
-                value = stored_end(WITHDRAWN, job.spec)
+                value = stored_end(WITHDRAWN, job.spec) | stored_links(job, over=True)
                 conditions[t.progress_key(name)] = 0
             outcome, epoch = await self.client.commit(conditions, {key: value}, [], Urgency.USER)
             if outcome is Outcome.DONE:
@@ -637,6 +654,17 @@
                 return None
         return None
 
+    async def _request_cancellation(self, job: Job, handoff: OriginRow) -> None:
+        """Stores that the user wants the cancellation; the cells that may have the job are asked to stop it."""
+        if handoff.cancelling:
+            return
+        wanted = t.stored_handoff(request_cancellation(handoff), job.returned_ms)
+        value = stored_job(job.status, job.spec, job.submitted_ms, job.parts) | {"h": wanted}
+        key = t.job_key(job.spec.id)
+        outcome, epoch = await self.client.commit({key: job.stamp}, {key: value}, [], Urgency.USER)
+        if outcome is Outcome.DONE:
+            self.replica.stored(epoch, {key: value})
+
     def status(self, name: str) -> str | None:
         """The status that the tables tell, in the users' words."""
         over = self.tables.over.get(name)
--- a/sloeswitch/actors/users.py
+++ b/sloeswitch/actors/users.py
@@ -106,6 +106,9 @@
             return fault(400, "id: not in the form wk-000412")
         if not self.replica.loaded:
             return refuse(self.retry_s)
+        if self._handed_over(name):
+            # It has the name of a job that another cell handed over, until that is acknowledged there.
+            return refuse(self.retry_s)
         if self.jobs.status(name) is not None:
             return await self._known(name)
         try:
@@ -131,12 +134,19 @@
         status, new = accepted
         return Answer(201 if new else 200, wire.submission_reply(name, status))
 
+    def _handed_over(self, name: str) -> bool:
+        """Whether another cell handed the job over: for this cell's users there is none of that name."""
+        job, over = self.tables.jobs.get(name), self.tables.over.get(name)
+        return (job is not None and job.delegated is not None) or (over is not None and over.delegated is not None)
+
     async def _judge_awaits(self, spec: wire.JobSpec) -> Answer | None:
         """The refusal of a submission for the jobs that it awaits, or None. Jobs once accepted stay known, so
         that only one which the tables lack needs a fresh read."""
         if not self.tables.upgraded:
             # A controller of an earlier layout would start its tasks too early.
             return refuse(self.retry_s)
+        if any(self._handed_over(name) for name in spec.awaits):
+            return refuse(self.retry_s)
         if all(self.jobs.status(name) is not None for name in spec.awaits):
             return None
         if not await self._fresh():
@@ -162,7 +172,7 @@
         if self.jobs.status(name) not in (wire.DONE, wire.CANCELLED) and not await self._fresh():
             return refuse(self.retry_s)
         status = self.jobs.status(name)
-        if status is None:
+        if status is None or self._handed_over(name):
             return fault(404, "no such job")
         over = self.tables.over.get(name)
         if over is not None:
@@ -170,13 +180,16 @@
         job = self.tables.jobs[name]
         done = job.progress.done.bit_count()
         running = job.progress.claimed().bit_count()
-        return Answer(200, wire.poll_reply(name, status, done, running))
+        away = None if job.handoff is None else job.handoff.away
+        return Answer(200, wire.poll_reply(name, status, done, running, None if away is None else away.target))
 
     async def _cancel(self, name: str) -> Answer:
         if not self.replica.loaded:
             return refuse(self.retry_s)
         if self.jobs.status(name) not in (wire.DONE, wire.CANCELLED) and not self.client.reachable:
             return refuse(self.retry_s)
+        if self._handed_over(name):
+            return fault(404, "no such job")
         status = await self.jobs.cancel(name)
         if status is None:
             return refuse(self.retry_s)
--- /dev/null
+++ b/sloeswitch/cells/target.py
@@ -0,0 +1,155 @@
+"""The target: answers other cells' requests, each from what is stored, and stores first what follows from it."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from sloeswitch import wire
+from sloeswitch.actors.jobs import Jobs, stored_job
+from sloeswitch.actors.membership import Standing
+from sloeswitch.cells.delegation import Delegation, DelegationState, TargetDecision, TargetRecord, decide
+from sloeswitch.cells.frames import CellRequest, Offer
+from sloeswitch.cells.messages import Answer, HandoffId, Request
+from sloeswitch.cells.selection import may_move_by_shape
+from sloeswitch.cells.summary import Summary, summarise, task_resources
+from sloeswitch.core import tables as t
+from sloeswitch.core.quota import impossible
+from sloeswitch.core.tables import Tables
+from sloeswitch.features import CellFeatures
+from sloeswitch.settings import Settings
+from sloeswitch.state import Outcome, Replica, StaleError, StateClient, Urgency
+
+log = logging.getLogger("cells")
+
+
+class CellTarget:
+    """Owns nothing but the highest incarnation heard of each cell: all else is in the tables."""
+
+    def __init__(
+        self, settings: Settings, features: CellFeatures, client: StateClient, replica: Replica, standing: Standing,
+        jobs: Jobs,
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.features = features
+        self.client = client
+        self.replica = replica
+        self.tables: Tables = replica.tables
+        self.standing = standing
+        self.jobs = jobs
+        self.incarnations: dict[str, int] = {}
+
+    @property
+    def switched_on(self) -> bool:
+        """Whether every configured controller of this cell runs with the feature."""
+        return self.tables.features.get("cells", t.Feature()).complete
+
+    def summary(self) -> Summary | None:
+        """This cell's summary; None while it takes no jobs or cannot know."""
+        if not (self.features.moving and self.switched_on and self.standing.may_act):
+            return None
+        return summarise(
+            self.tables, self.settings, self.features.name, self.features.incarnation, self.replica.applied
+        )  # fmt: skip
+
+    async def answer(self, request: CellRequest) -> Answer | None:
+        """What another cell is told; None when that cannot be said now, so that it asks again."""
+        handoff = request.message.handoff
+        if not self._heard_from(handoff.origin, request.incarnation) or not self.switched_on:
+            return None
+        if not self.replica.loaded or not self.standing.may_act:
+            return None
+        try:
+            await self.replica.fresh(self.client.timeout_s)
+        except StaleError:
+            return None
+        record = self.record(handoff)
+        decision = decide(record, handoff, request.message.request, self._has_room(handoff, request.offer))
+        if not await self._store(record, decision, request):
+            return None
+        after = self.record(handoff).delegation
+        if decision.record.delegation is not None and after is not None and after.handoff == handoff:
+            # A claim may have been quicker than a withdrawal or a stop: what is stored counts.
+            return Answer(after.state.value)
+        return decision.answer
+
+    def _heard_from(self, origin: str, incarnation: int) -> bool:
+        """Whether the cell is a peer, in the highest incarnation that it was heard in."""
+        if origin not in {peer.name for peer in self.features.peers}:
+            log.error("%s is no peer of this cell", origin)
+            return False
+        if incarnation < self.incarnations.get(origin, 0):
+            log.error("%s speaks as incarnation %d, which is over", origin, incarnation)
+            return False
+        self.incarnations[origin] = incarnation
+        return True
+
+    def record(self, handoff: HandoffId) -> TargetRecord:
+        """What is stored of an origin's handoffs of one job."""
+        floor = self.tables.floors.get(handoff.origin, 0)
+        job = self.tables.jobs.get(handoff.job)
+        over = self.tables.over.get(handoff.job)
+        delegated = job.delegated if job is not None else over.delegated if over is not None else None
+        if delegated is None or delegated.origin != handoff.origin:
+            return TargetRecord(floor)
+        if job is None:
+            state = DelegationState.DONE if over is not None and over.done else DelegationState.STOPPED
+        elif job.cancelled:
+            state = DelegationState.STOPPING
+        else:
+            state = DelegationState.BEGUN if job.progress_stamp else DelegationState.ACCEPTED
+        return TargetRecord(floor, Delegation(HandoffId(handoff.origin, handoff.job, delegated.number), state))
+
+    def _has_room(self, handoff: HandoffId, offer: Offer | None) -> bool:
+        """Whether an offer is to be accepted: it can run here, and there is room now."""
+        tables, summary = self.tables, self.summary()
+        if offer is None or summary is None or summary.saturated:
+            return False
+        spec = offer.spec
+        # A job of this cell's own users, or what is left of an earlier handoff, has the name.
+        known = handoff.job in tables.jobs or handoff.job in tables.over
+        if known or tables.stamp(t.progress_key(handoff.job)) or spec.id != handoff.job:
+            return False
+        if spec.awaits or not may_move_by_shape(spec):
+            return False
+        if impossible(spec, self.settings.teams, tables.types) is not None:
+            return False
+        if len(wire.encode(self._delegated_job(handoff, offer))) > self.client.value_bytes:
+            return False
+        task = task_resources(spec)
+        least = spec.tasks if spec.gang else 1
+        return min(task.times_in(summary.free), task.times_in(summary.room_of_team(spec.team))) >= least
+
+    @staticmethod
+    def _delegated_job(handoff: HandoffId, offer: Offer) -> dict[str, Any]:
+        """A handed over job, as it is stored."""
+        value = stored_job(t.LIVE, offer.spec, offer.submitted_ms)
+        return {**value, "o": list(t.Delegated(handoff.origin, handoff.number))}
+
+    async def _store(self, before: TargetRecord, decision: TargetDecision, request: CellRequest) -> bool:
+        """Stores what was decided, on condition of what it was decided from; whether that is stored for certain."""
+        after, name = decision.record, request.message.handoff.job
+        if after == before:
+            return True
+        if before.delegation is not None and after.delegation is not None:
+            unclaimed = request.message.request is Request.WITHDRAW
+            return await self.jobs.cancel(name, only_unclaimed=unclaimed) is not None
+        origin = request.message.handoff.origin
+        floor, job = t.floor_key(origin), t.job_key(name)
+        conditions = {floor: self.tables.stamp(floor), **self.standing.claim_conditions()}
+        writes: dict[str, Any] = {}
+        drops: list[str] = []
+        if after.floor != before.floor:
+            writes[floor] = {"n": after.floor}
+        if before.delegation is not None:
+            conditions[job] = self.tables.stamp(job)
+            drops.append(job)
+        elif after.delegation is not None:
+            assert request.offer is not None
+            conditions[job] = conditions[t.progress_key(name)] = 0
+            writes[job] = self._delegated_job(after.delegation.handoff, request.offer)
+        outcome, epoch = await self.client.commit(conditions, writes, drops, Urgency.CLAIM)
+        if outcome is Outcome.DONE and not drops:
+            self.replica.stored(epoch, writes)
+        self.replica.hint()
+        return outcome is Outcome.DONE
--- a/sloeswitch/cli.py
+++ b/sloeswitch/cli.py
@@ -7,7 +7,7 @@
 import os
 import sys
 
-from sloeswitch import __version__
+from sloeswitch import __version__, features
 from sloeswitch.settings import SettingsError, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -17,6 +17,7 @@
     parser = argparse.ArgumentParser(prog="sloeswitch", description="Runs one controller of a sloeswitch cluster.")
     parser.add_argument("--config", metavar="FILE", help="the settings file (TOML)")
     parser.add_argument("--check", metavar="FILE", help="name every fault of a settings file and stop")
+    parser.add_argument("--features", metavar="FILE", help="the features file (TOML), checked with the settings")
     parser.add_argument("--version", action="version", version=f"sloeswitch {__version__}")
     args = parser.parse_args(argv)
     path = args.check or args.config
@@ -28,6 +29,14 @@
         for fault in error.faults:
             print(f"{path}: {fault}", file=sys.stderr)
         return 2
+    enabled = features.Features()
+    if args.features is not None:
+        try:
+            enabled = features.load(args.features, settings)
+        except SettingsError as error:
+            for fault in error.faults:
+                print(f"{args.features}: {fault}", file=sys.stderr)
+            return 2
     if args.check:
         return 0
     logging.basicConfig(
@@ -38,5 +47,5 @@
     # Imported late, so that --check and --version need none of it.
     from sloeswitch.controller import run
 
-    run(settings)
+    run(settings, enabled)
     return 0
--- a/sloeswitch/controller.py
+++ b/sloeswitch/controller.py
@@ -5,9 +5,10 @@
 import logging
 import secrets
 import time
+from functools import partial
 
 import anyio
-from anyio.abc import SocketListener
+from anyio.abc import SocketListener, TaskGroup
 
 from sloeswitch.actors.fleet import Fleet
 from sloeswitch.actors.jobs import Jobs
@@ -17,6 +18,7 @@
 from sloeswitch.cloud import CloudClient
 from sloeswitch.core.cancellations import Cancellations
 from sloeswitch.core.tables import Tables
+from sloeswitch.features import CellFeatures, Features
 from sloeswitch.http import Server, listener_socket
 from sloeswitch.mesh import Mesh
 from sloeswitch.settings import Settings
@@ -29,7 +31,7 @@
 now = time.monotonic
 
 
-async def serve(settings: Settings) -> None:
+async def serve(settings: Settings, features: Features) -> None:
     """Runs one controller until it is killed."""
     # More than the state service takes in the longest spell that machines outlive.
     cancellations = Cancellations(int(16 * settings.lease_s * settings.state_write_rps), 1 + secrets.randbits(63))
@@ -70,10 +72,31 @@
             server.sweep_forever,
         ):  # fmt: skip
             group.start_soon(loop)
+        if features.cells is not None:
+            start_cells(group, settings, features.cells, machines, mesh)
         group.start_soon(listener.serve, server.serve)
         group.start_soon(mesh_listener.serve, mesh.serve)
 
 
-def run(settings: Settings) -> None:
+def start_cells(
+    group: TaskGroup, settings: Settings, features: CellFeatures, machines: Machines, mesh: Mesh
+) -> None:  # fmt: skip
+    """Starts what hands jobs over to other cells, and takes theirs."""
+    # Imported late, so that a controller without the feature loads none of it.
+    from sloeswitch.cells.link import MeshLink, answer_frame
+    from sloeswitch.cells.origin import CellOrigin, Link
+    from sloeswitch.cells.target import CellTarget
+
+    client, replica, standing = machines.client, machines.replica, machines.standing
+    target = CellTarget(settings, features, client, replica, standing, machines.jobs)
+    mesh.cells = partial(answer_frame, target)
+    links: dict[str, Link] = {peer.name: MeshLink(peer, settings.controller_lease_s) for peer in features.peers}
+    origin = CellOrigin(settings, features, client, replica, standing, lambda: machines.line, links, now)
+    group.start_soon(origin.select_forever)
+    for peer in features.peers:
+        group.start_soon(origin.talk_forever, peer.name)
+
+
+def run(settings: Settings, features: Features) -> None:
     # The event loop takes a third of what a report costs; uvloop's takes half of that.
-    anyio.run(serve, settings, backend_options={"use_uvloop": True})
+    anyio.run(serve, settings, features, backend_options={"use_uvloop": True})
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -164,12 +164,16 @@
     keyed: list[tuple[tuple[int, bool, bool, int, int, float], Job]] = []
     for job in live:
         spec = job.spec
-        for like in (False, True) if urgency(job) < USUAL else (False,):
+        # What another cell handed over is promised nothing here, and takes nothing of what its team is promised.
+        kinds = (False, True) if urgency(job) < USUAL else (False,)
+        for like in kinds if job.delegated is None else ():
             cores, gpus = wanted.get((spec.team, like), (0.0, 0.0))
             cores, gpus = cores + spec.tasks * spec.cores, gpus + spec.tasks * spec.gpus
             wanted[spec.team, like] = (cores, gpus)
         age_s = (wall_ms - job.submitted_ms) / 1000
         back = standing_back(has_begun(job), (wall_ms - job.ready_ms) / 1000, settings.lease_s)
+        if job.delegated is not None:
+            back, job.guaranteed = 2, False
         team = settings.teams.get(spec.team)
         if job.guaranteed is None:
             job.guaranteed = team is not None and within_guarantee(team, cores, gpus)
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -8,7 +8,8 @@
     catalog    {...}                 machine types, as the cloud last told them
     c/TYPE     {...}                 one machine type, where all together fit no value
     j/JOB      {"s", "n", ...}       a job: "live", "done" or "withdrawn"; the spec until it is over, then
-                                     the time of its end; "x" once withdrawn: the time of the cancellation
+                                     the time of its end; "x" once withdrawn: the time of the cancellation;
+                                     "h" once it was offered to another cell, "o" if another cell handed it over
     p/JOB/TRY/N  TEXT                a part of a spec that fits no value; the job's row names the try
     r/JOB      {"d", "c", "z", "e"}  its progress: done tasks, claims by controller, zone; the epoch up to which
                                      adoptions are in it
@@ -18,6 +19,8 @@
     g/GROUP    {"m": {MACHINE: [address, type, zone, spot]}}   machines that may hold tasks
     h/MACHINE  {"a", "t", "z", "s"}  the same, one by one: layout 1, written while a controller that
                                      knows no groups is about
+    feature/F  {"seen", "complete"}  the same for a feature that is turned on (see features)
+    f/CELL     {"n"}                 the floor of another cell's handoffs (see cells.delegation)
     layout     {"seen": [MEMBER...], "complete"}   who has run with this layout; complete once all have
 """
 
@@ -31,6 +34,8 @@
 
 import msgspec
 
+from sloeswitch.cells.handoff import OriginRow, Placement
+from sloeswitch.cells.policy import MovePolicy
 from sloeswitch.core import taskset
 from sloeswitch.core.cancellations import Cancellation, Cancellations
 from sloeswitch.core.graph import Graph
@@ -69,6 +74,14 @@
     return f"{PREFIX}a/{tag}/{number}"
 
 
+def feature_key(feature: str) -> str:
+    return f"{PREFIX}feature/{feature}"
+
+
+def floor_key(cell: str) -> str:
+    return f"{PREFIX}f/{cell}"
+
+
 def team_key(team: str) -> str:
     return f"{PREFIX}q/{team}"
 
@@ -192,6 +205,36 @@
         )
 
 
+class Delegated(NamedTuple):
+    """Which handoff of another cell a job came with."""
+
+    origin: str
+    number: int
+
+
+def stored_handoff(row: OriginRow, returned_ms: int = 0) -> dict[str, Any]:
+    """What a job's row keeps of its handoffs to other cells."""
+    value: dict[str, Any] = {"p": row.policy.value}
+    if row.away is not None:
+        value["a"] = [row.away.target, row.away.number]
+    if row.recalls:
+        value["r"] = [[each.target, each.number] for each in row.recalls]
+    if row.cancelling:
+        value["c"] = True
+    if returned_ms:
+        value["t"] = returned_ms
+    return value
+
+
+def handoff_from_stored(job: str, value: dict[str, Any] | None) -> OriginRow | None:
+    """The handoffs that a job's row tells of. The cell's own name is not stored."""
+    if value is None:
+        return None
+    away = Placement(*value["a"]) if "a" in value else None
+    recalls = tuple(Placement(*each) for each in value.get("r", ()))
+    return OriginRow("", job, MovePolicy(value["p"]), away, recalls, cancelling=value.get("c", False))
+
+
 class Over(NamedTuple):
     """A job that is over, kept for good. `at_ms`: 0 where an earlier layout stored no time."""
 
@@ -199,11 +242,19 @@
     tasks: int
     at_ms: int = 0
     stamp: int = 0
+    # Handoffs that are still to be stopped, and the handoff that it came with, until that is acknowledged.
+    handoff: OriginRow | None = None
+    delegated: Delegated | None = None
 
     @property
     def done(self) -> bool:
         return self.status == DONE
 
+    @property
+    def settled(self) -> bool:
+        """Whether its row changes no more."""
+        return self.handoff is None and self.delegated is None
+
 
 @dataclass
 class Job:
@@ -232,6 +283,10 @@
     inherited_ms: tuple[float, float] | None = None
     # When it should be done, in seconds from submission; reckoned once (see ready).
     targets: list[float] | None = None
+    # Its handoffs to other cells, and when the last of them came back; the handoff that it came with.
+    handoff: OriginRow | None = None
+    returned_ms: int = 0
+    delegated: Delegated | None = None
     # Whether it goes first just now since nothing of it has begun for long; only a part of it does.
     beginning: bool = False
     # Whether it fitted its team's guarantee, with the team's earlier jobs, when it was first lined up.
@@ -252,7 +307,7 @@
     @property
     def runnable(self) -> bool:
         """Whether its tasks may start. One that is condemned waits for ever."""
-        return self.status == LIVE and not self.waits
+        return self.status == LIVE and not self.waits and (self.handoff is None or self.handoff.startable)
 
     @property
     def unstarted(self) -> bool:
@@ -287,6 +342,13 @@
     layout: int
 
 
+class Feature(NamedTuple):
+    """Which controllers have run with a feature turned on, and whether all configured ones have."""
+
+    seen: tuple[str, ...] = ()
+    complete: bool = False
+
+
 class Tables:
     """Written by the replica only; everybody else in the process reads."""
 
@@ -306,10 +368,15 @@
         self._single_types: dict[str, MachineType] = {}
         self.jobs: dict[str, Job] = {}
         self.over: dict[str, Over] = {}
+        # Those of them whose row may still change.
+        self.open_over: set[str] = set()
         self.graph = Graph(self.jobs, self.over)
         # Who has run with this layout, and whether all have (the mark).
         self.seen: tuple[str, ...] = ()
         self.upgraded = False
+        self.features: dict[str, Feature] = {}
+        # For each other cell: its handoffs up to this number that are not on record are refused for ever.
+        self.floors: dict[str, int] = {}
         self.machines: dict[str, MachineRow] = {}
         self.groups: dict[str, set[str]] = {}
         self.deleted: set[str] = set()
@@ -333,7 +400,7 @@
             return
         name = key[len(PREFIX) :]
         kind, _, rest = name.partition("/")
-        if kind == "j" and rest in self.over:
+        if kind == "j" and rest in self.over and self.over[rest].settled:
             return  # final; an overlapping read may still bring what was before
         if stamp <= self.stamps.get(key, 0):
             return
@@ -376,6 +443,10 @@
             self.view = View(value["n"], tuple((member, boot) for member, boot in value["members"]))
         elif kind == "coord":
             self.coordinator = None if value is None else (value["member"], value["boot"])
+        elif kind == "f":
+            self.floors[rest] = 0 if value is None else value["n"]
+        elif kind == "feature" and value is not None:
+            self.features[rest] = Feature(tuple(value["seen"]), bool(value["complete"]))
         elif kind == "layout" and value is not None:
             self.seen = tuple(value["seen"])
             self.upgraded = bool(value["complete"])
@@ -428,8 +499,12 @@
     def _apply_job(self, name: str, value: Any, stamp: int) -> None:
         if value is None:
             self.jobs.pop(name, None)
+            self.over.pop(name, None)
+            self.open_over.discard(name)
             return
-        if value["s"] == WITHDRAWN:
+        handoff = handoff_from_stored(name, value.get("h"))
+        delegated = Delegated(*value["o"]) if "o" in value else None
+        if value["s"] == WITHDRAWN and name not in self.over:
             known = self.jobs.get(name)
             if known is None or known.status != WITHDRAWN:
                 self.cancellations.add(name, stamp)
@@ -440,8 +515,10 @@
             self._partial.pop(name, None)
             if self.stamp(progress_key(name)):
                 self.leftover.add(name)
-            ended = self.over[name] = Over(value["s"], value["n"], value.get("t", 0), stamp)
-            self.stamps.pop(job_key(name), None)
+            ended = self.over[name] = Over(value["s"], value["n"], value.get("t", 0), stamp, handoff, delegated)
+            (self.open_over.discard if ended.settled else self.open_over.add)(name)
+            if ended.settled:
+                self.stamps.pop(job_key(name), None)
             if ended.done:
                 self.graph.done(name, ended)
             else:
@@ -452,6 +529,7 @@
             known.status = WITHDRAWN if name in self.told else value["s"]
             known.stamp = stamp
             known.cancelled_ms = value.get("x", 0)
+            known.handoff, known.returned_ms = handoff, value.get("h", {}).get("t", 0)
             if known.cancelled:
                 self.graph.cancelled(name)
             return
@@ -469,6 +547,7 @@
         status = WITHDRAWN if name in self.told else value["s"]
         job = Job(spec, status, stamp, stamp, value["t"], parts=parts, ready_ms=value["t"])
         job.cancelled_ms = value.get("x", 0)
+        job.handoff, job.returned_ms, job.delegated = handoff, value.get("h", {}).get("t", 0), delegated
         if name in self._early:
             job.progress, job.progress_stamp = self._early.pop(name)
         self.jobs[name] = job
@@ -511,8 +590,11 @@
                 job.progress.adopt(tag, tasks)
 
     def _apply_progress(self, name: str, value: Any, stamp: int) -> None:
+        if value is None:
+            self.leftover.discard(name)
         if name in self.over:
-            (self.leftover.discard if value is None else self.leftover.add)(name)
+            if value is not None:
+                self.leftover.add(name)
             return
         progress = Progress() if value is None else Progress.from_stored(value)
         for since, tag, tasks in self.adoptions.get(name, ()):
--- a/sloeswitch/mesh.py
+++ b/sloeswitch/mesh.py
@@ -15,7 +15,7 @@
 
 import logging
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import anyio
@@ -34,6 +34,9 @@
 ENTRY = struct.Struct("!QB")
 MAGIC, VERSION = b"sloe", 1
 TYPE_ASK, TYPE_TELL, TYPE_INQUIRE, TYPE_INFORM = 1, 2, 3, 4
+# Between cells (see cells.frames): requests, and the types of their answers.
+TYPE_CELL_REQUEST, TYPE_CELL_ANSWER, TYPE_SUMMARY_REQUEST, TYPE_SUMMARY = 5, 6, 7, 8
+CELL_ANSWERS = {TYPE_CELL_REQUEST: TYPE_CELL_ANSWER, TYPE_SUMMARY_REQUEST: TYPE_SUMMARY}
 MAX_BODY = 0xFFFF
 STATE_OK, WHOLE, MORE = 1, 2, 4
 # Later than any view: an earlier version takes it for a reason to stop.
@@ -164,6 +167,8 @@
         self.cancellations = cancellations
         self.learn = learn
         self.peers = {sibling.member: Peer() for sibling in siblings}
+        # Answers frames of other cells by type and body; None while that is turned off.
+        self.cells: Callable[[int, bytes], Awaitable[bytes | None]] | None = None
 
     async def serve(self, stream: SocketStream) -> None:
         reader = FrameReader(stream)
@@ -171,7 +176,14 @@
             while True:
                 with anyio.fail_after(20 * self.pause_s):
                     header = await reader.exactly(HEADER.size)
-                    if HEADER.unpack(header)[2] == TYPE_ASK:
+                    kind = HEADER.unpack(header)[2]
+                    if self.cells is not None and kind in CELL_ANSWERS:
+                        body = await reader.exactly(check_header(header, kind))
+                        answer = await self.cells(kind, body)
+                        if answer is None or len(answer) > MAX_BODY:
+                            raise FrameError(f"no answer to a cell's frame of type {kind}")
+                        reply = HEADER.pack(MAGIC, VERSION, CELL_ANSWERS[kind], len(answer)) + answer
+                    elif kind == TYPE_ASK:
                         check_header(header, TYPE_ASK, ASK.size)
                         await reader.exactly(ASK.size)
                         reply = pack_tell(NO_CONFIRMATION, self.known().state_ok)
--- a/sloeswitch/settings.py
+++ b/sloeswitch/settings.py
@@ -113,7 +113,7 @@
         return self.controller_lease_s * (1 + 2 * self.drift) + self.worker_gone_s
 
 
-class _Reader:
+class Reader:
     """Takes fields out of TOML tables and gathers what is wrong with them."""
 
     def __init__(self) -> None:
@@ -181,7 +181,7 @@
         top = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"not TOML: {error}"]) from None
-    read = _Reader()
+    read = Reader()
     outside = read.table(top, "outside", "")
     deployment = read.table(top, "deployment", "")
     workers = read.table(deployment, "workers", "deployment.") if deployment else {}
--- a/sloeswitch/wire.py
+++ b/sloeswitch/wire.py
@@ -258,8 +258,11 @@
     return encode({"id": job, "status": status})
 
 
-def poll_reply(job: str, status: str, done: int, running: int) -> bytes:
-    return encode({"id": job, "status": status, "done": done, "running": running})
+def poll_reply(job: str, status: str, done: int, running: int, cell: str | None = None) -> bytes:
+    reply = {"id": job, "status": status, "done": done, "running": running}
+    if cell is not None:
+        reply["cell"] = cell
+    return encode(reply)
 
 
 def redirect_reply(member: str | None) -> bytes:
