--- a/sloeswitch/cells/origin.py
+++ b/sloeswitch/cells/origin.py
@@ -229,7 +229,7 @@
         for name, job in list(self.tables.jobs.items()):
             if job.handoff is not None and job.handoff.placements:
                 yield name, self.row(job)
-        for name in list(self.tables.open_over):
+        for name in sorted(self.tables.open_over):
             over = self.tables.over[name]
             if over.handoff is not None:
                 yield name, self._over_row(name, over)
