Test: users of a target know nothing of a job that was handed over

Need: the refusals of a target's users had no test of their own: 404 for questions and cancellations, 503 for the same name and for what awaits it; the origin's answer names the cell.

--- a/tests/test_cells_world.py
+++ b/tests/test_cells_world.py
@@ -11,6 +11,7 @@
 from anyio.streams.stapled import StapledObjectStream
 
 from sloeswitch import wire
+from sloeswitch.actors.users import Users
 from sloeswitch.cells.frames import CellAnswer, CellRequest, Offer, pack_summary, unpack_summary
 from sloeswitch.cells.link import MeshLink, answer_frame
 from sloeswitch.cells.messages import Answer, HandoffId, Request, RequestMessage
@@ -19,11 +20,12 @@
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellations
 from sloeswitch.features import PeerCell
+from sloeswitch.http import Request as HttpRequest
 from sloeswitch.mesh import FrameError, Known, Mesh
 from sloeswitch.settings import Address
 from sloeswitch.state import StaleError
-from tests.conftest import spec
-from tests.support.cells import CellWorld, RuleError, play, settings_cache
+from tests.conftest import spec, submission
+from tests.support.cells import Cell, CellWorld, RuleError, play, settings_cache
 from tests.support.seeds import follow_newest_world
 
 JOB = "wk-000001"
@@ -132,6 +134,30 @@
     assert JOB not in tables.over and tables.floors["north"] > 0, "acknowledged, and fenced"
 
 
+def test_users_of_the_target_know_nothing_of_a_job_that_was_handed_over() -> None:
+    """Its own user asks the origin, and is told where it is."""
+    moved = Moved("once")
+
+    def ask(cell: Cell, method: str, path: str, body: dict[str, Any] | None = None) -> tuple[int, dict[str, Any]]:
+        controller = cell.controllers["c0"]
+        nobody: Any = None
+        users = Users(
+            settings_cache(), controller.target.client, controller.replica, controller.standing, controller.jobs, nobody
+        )
+        data = b"" if body is None else wire.encode(body)
+        answer = anyio.run(users.handle, HttpRequest(method, path, data))
+        return answer.status, wire.decode(answer.body, dict[str, Any])
+
+    assert ask(moved.south, "GET", f"/submissions/{JOB}")[0] == 404
+    assert ask(moved.south, "POST", f"/submissions/{JOB}/cancel")[0] == 404
+    assert ask(moved.south, "POST", "/submissions", submission(JOB))[0] == 503, "the name is taken for now"
+    assert ask(moved.south, "POST", "/submissions", submission("wk-000002", awaits=[JOB]))[0] == 503
+    assert JOB in moved.south.store.tables.jobs
+    status, answer = ask(moved.north, "GET", f"/submissions/{JOB}")
+    assert (status, answer["status"], answer["cell"]) == (200, "queued", "south")
+    assert ask(moved.north, "POST", f"/submissions/{JOB}/cancel")[0] == 503
+
+
 def test_a_late_copy_of_an_offer_starts_nothing_after_the_job_is_over() -> None:
     moved = Moved("once")
     moved.run_there()
