--- a/tests/test_cells_selection.py
+++ b/tests/test_cells_selection.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sloeswitch.actors.jobs import stored_job
 from sloeswitch.cells.selection import Candidate, Move, MoveLimits, candidates, choose, limits_of
 from sloeswitch.cells.summary import MachinePool, Resources, Summary, SummaryBook, summarise
 from sloeswitch.core import ready
@@ -138,3 +139,17 @@
     store.job(spec("wk-000002", visits=50, awaits=["wk-000001"]))
     assert store.tables.jobs["wk-000002"].waits == 1
     assert not cell.summary().saturated
+
+
+def test_what_was_handed_over_stands_behind_the_cells_own_guaranteed_work(store: Store) -> None:
+    """And takes nothing of its team's guarantee, however old it is; with the rest it stands as any other job does."""
+    settings = parse(SETTINGS)
+    store.put(t.job_key("wk-000001"), stored_job(t.LIVE, spec("wk-000001"), 0) | {"o": ["south", 7]})
+    store.job(spec("wk-000002"))
+    store.job(spec("wk-000003"))
+    # Eight cores are guaranteed, and each job takes that much: only the first of the cell's own is within it.
+    names = [job.spec.id for job in ready.order(store.tables, settings, 0)]
+    assert names == ["wk-000002", "wk-000001", "wk-000003"]
+    late_ms = int(1000 * 9 * settings.lease_s)
+    late = [job.spec.id for job in ready.order(store.tables, settings, late_ms)]
+    assert late.index("wk-000003") < late.index("wk-000001"), "only the cell's own go first for having waited long"
