The claim planner takes a typed picture of the room; team limits and gang room leave machines.py

Change, behaviour unchanged: the planner is pure (core/claim_planner.py) and takes a RoomPicture (rooms, use, spare and allowance by team, idle claims, cores ahead, homes) and returns a ClaimPlan. What teams may use on a controller's machines is TeamLimits, room for gangs of one task is GangRoom. The fleet imports Machines, which knows the fleet only by the protocol MachineReturner.

--- a/sloeswitch/actors/fleet.py
+++ b/sloeswitch/actors/fleet.py
@@ -9,12 +9,12 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 import anyio
 import msgspec
 
 from sloeswitch import wire
+from sloeswitch.actors.machines import Deleted, Machines
 from sloeswitch.actors.membership import Standing
 from sloeswitch.cloud import CloudClient, CloudError
 from sloeswitch.core import fleet as plan
@@ -24,9 +24,6 @@
 from sloeswitch.settings import Settings
 from sloeswitch.state import Outcome, Replica, StateClient, Urgency
 
-if TYPE_CHECKING:
-    from sloeswitch.actors.machines import Machines
-
 log = logging.getLogger("fleet")
 
 
@@ -91,8 +88,6 @@
         return self.standing.owner(machine) == self.settings.member
 
     async def return_forever(self) -> None:
-        from sloeswitch.actors.machines import Deleted
-
         while True:
             if not self.returning:
                 await self.wake.wait()
@@ -279,7 +274,7 @@
         now = self.now()
         self._spare_dear()
         settled = self.tables.all_settled()
-        backlog = self.machines.startable([
+        backlog = self.machines.limits.startable([
             job.spec for job in self.tables.jobs.values()
             if job.runnable and self.tables.open_tasks(job, settled)
         ])  # fmt: skip
@@ -294,7 +289,7 @@
             since = self.idle_since.setdefault(machine.name, now)
             if now - since > kind.boot_s or (machine.spared and now - since > 2 * self.settings.report_s):
                 del self.idle_since[machine.name]
-                self.machines._return(machine, "idle")
+                self.machines.return_machine(machine, "idle")
 
     async def watch_idle_forever(self) -> None:
         while True:
--- /dev/null
+++ b/sloeswitch/actors/gang_room.py
@@ -0,0 +1,110 @@
+"""Room for gangs of one task that fit few machine types: tasks of lower priority stop, and the room is held."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from sloeswitch.actors.membership import Standing
+from sloeswitch.actors.team_limits import TeamLimits
+from sloeswitch.core import placement, preemption
+from sloeswitch.core.health import Health
+from sloeswitch.core.quota import fits_type
+from sloeswitch.core.registry import Attempt, Machine, MachineRegistry
+from sloeswitch.core.tables import Job, Tables
+from sloeswitch.settings import Settings
+
+log = logging.getLogger("machines")
+
+
+class Line(Protocol):
+    """The jobs in the order in which they get room, as of the last tick."""
+
+    line: list[Job]
+    scarce: set[str]
+    met: dict[str, float]
+
+    def at_home(self, job: Job) -> bool:
+        """Whether the job's image is one that this controller's machines are to have."""
+
+
+class GangRoom:
+    """Owns the room that is held for gangs of one task."""
+
+    def __init__(
+        self, settings: Settings, tables: Tables, standing: Standing, registry: MachineRegistry, health: Health,
+        limits: TeamLimits, line: Line, kill: Callable[[Machine, Attempt, float], None], pace_s: float,
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.tables = tables
+        self.standing = standing
+        self.registry = registry
+        self.health = health
+        self.limits = limits
+        self.line = line
+        self.kill = kill
+        self.pace_s = pace_s
+        # Machines on which room was made for a job, each until when it is held for that.
+        self.held: dict[str, tuple[str, float]] = {}
+
+    def make_room(self, now: float) -> None:
+        """Stops tasks of lower priority for a gang of one task that fits nowhere. The room is held for it until it
+        is placed or a worker lease is over."""
+        self._release_held(now)
+        if not self.line.scarce:
+            return
+        positions: dict[str, int] = {}
+        for position, job in enumerate(self.line.line):
+            positions.setdefault(job.spec.id, position)
+        rooms: dict[str, placement.Room] | None = None
+        for job in self._gangs_without_room(now):
+            if rooms is None:
+                rooms = self._scarce_rooms()
+            fitting = [
+                (room, self.registry.machines[room.machine].attempts.values())
+                for room in placement.usable(job.spec.id, list(rooms.values()), self.held, self.health)
+                if placement.allowed(job.spec, room) and fits_type(job.spec, self.tables.types[room.type])
+            ]
+            chosen = preemption.choose(job, fitting, positions)
+            if chosen is None:
+                continue
+            self.held[chosen.machine] = (job.spec.id, now + self.settings.lease_s)
+            del rooms[chosen.machine]
+            log.info("%s: %d tasks of lower priority stop on %s", job.spec.id, len(chosen.attempts), chosen.machine)
+            machine = self.registry.machines[chosen.machine]
+            for attempt in chosen.attempts:
+                self.kill(machine, attempt, attempt.spec.save_s)
+
+    def _release_held(self, now: float) -> None:
+        """Ends the holding of room whose job is placed, over or has waited long enough."""
+        for name, (holder, until) in list(self.held.items()):
+            job = self.tables.jobs.get(holder)
+            if now >= until or job is None or not job.runnable or not job.unstarted:
+                del self.held[name]
+
+    def _gangs_without_room(self, now: float) -> Iterator[Job]:
+        """Gangs of one task that have waited for room for a while, in the order of the line. The controller at which
+        a job's image is goes first, the others a report later each, so that they do not all make room for it."""
+        members = [member for member, _ in self.standing.view.members]
+        turn = members.index(self.settings.member)
+        passed = {holder for holder, _ in self.held.values()}
+        for job in self.line.line:
+            spec = job.spec
+            if not (spec.gang and spec.tasks == 1 and job.unstarted) or spec.id in passed:
+                continue
+            passed.add(spec.id)  # it may stand in the line twice
+            wait = 4 * self.pace_s + (0 if self.line.at_home(job) else (1 + turn) * self.settings.report_s)
+            if now - self.line.met.get(spec.id, now) < wait or self.health.paused(spec.id, now):
+                continue
+            if self.limits.startable([spec]):
+                yield job
+
+    def _scarce_rooms(self) -> dict[str, placement.Room]:
+        """What is free on machines of types that some live job fits and others not, by machine."""
+        return {
+            machine.name: self.registry.room(machine, self.tables.types[machine.type])
+            for machine in self.registry.machines.values()
+            if machine.type in self.line.scarce and machine.type in self.tables.types
+            and self.registry.usable(machine) and machine.name in self.tables.machines
+        }  # fmt: skip
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -9,32 +9,31 @@
 import contextlib
 import logging
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 from anyio.abc import TaskGroup
 
 from sloeswitch import wire
-from sloeswitch.actors import fleet
 from sloeswitch.actors.base import Actor, Ask, InboxFullError
-from sloeswitch.actors.claim_planner import ClaimPlanner
 from sloeswitch.actors.commands import CommandReply, CommandSender, Inspected
+from sloeswitch.actors.gang_room import GangRoom
 from sloeswitch.actors.jobs import ClaimRequest, Jobs, Learnt, note_task
 from sloeswitch.actors.membership import Membership, Settled, Standing
 from sloeswitch.actors.registration import Registration
+from sloeswitch.actors.team_limits import TeamLimits
 from sloeswitch.core import placement, preemption, quota, ready, taskset
-from sloeswitch.core import tables as t
-from sloeswitch.core.allowances import Allowance
 from sloeswitch.core.cancellation_guard import OVERDUE, CancellationGuard, overdue_job
+from sloeswitch.core.claim_planner import ClaimPlanner, PlanLimits, RoomPicture
 from sloeswitch.core.health import Health
 from sloeswitch.core.quota import fits_type
 from sloeswitch.core.registry import FETCHING, RUNNING, Attempt, Heard, Machine, MachineRegistry
 from sloeswitch.core.tables import LIVE, Job, Tables
 from sloeswitch.http import Answer, refuse
-from sloeswitch.settings import Settings, Team
-from sloeswitch.state import Replica, StateClient, Urgency
+from sloeswitch.settings import Settings
+from sloeswitch.state import Replica, StateClient
 
 log = logging.getLogger("machines")
 
@@ -53,6 +52,14 @@
     machines: list[str]
 
 
+class MachineReturner(Protocol):
+    """Has machines deleted at the cloud; Deleted follows."""
+
+    def give_back(self, machine: str, listed: bool = False, pressing: bool = False) -> bool:
+        """Whether that was not under way yet. `listed`: found in the cloud's list, whoever owns it. `pressing`: also
+        while this controller may only answer machines, or nobody may."""
+
+
 @dataclass
 class Tick(Ask):
     """Look after what no report brings up."""
@@ -67,15 +74,6 @@
 LEAN = 0.5
 
 
-def movable(attempt: Attempt, now: float) -> bool:
-    """Whether an attempt can be stopped and go on elsewhere for little: it saves, and is not new."""
-    spec = attempt.spec
-    return (
-        spec.checkpoint_s > 0 and not spec.gang and attempt.state == RUNNING and attempt.kill_grace_s is None
-        and attempt.running_at is not None and now - attempt.running_at > 2 * spec.checkpoint_s
-    )  # fmt: skip
-
-
 class Machines(Actor):
     name = "machines"
 
@@ -93,7 +91,7 @@
         self.membership = membership
         self.now = now
         self.group: TaskGroup | None = None
-        self.fleet: fleet.Fleet | None = None
+        self.fleet: MachineReturner | None = None
         self.registry = MachineRegistry()
         self.health = Health(settings.report_s, 20 * settings.lease_s)
         self.boot = 0
@@ -111,19 +109,13 @@
         # Told and not yet in the tables, as sets of tasks by job.
         self.finished: dict[str, int] = {}
         self.releasing: dict[str, int] = {}
-        # Smaller allowances being stored: team -> (stamp it relies on, cores, gpus).
-        self.shrinking: dict[str, tuple[int, float, float]] = {}
-        self.surplus_since: dict[str, float] = {}
         # As of the last tick: jobs in the order in which they get room, those of them with work claimed and
-        # not placed, the smallest cores any wants, what limbo uses, and when machines are looked at again.
+        # not placed, the smallest cores any wants, and when machines are looked at again.
         self.line: list[Job] = []
-        # Machine types kept for jobs that fit no other, and machines on which room was made for a job, each until
-        # when it is held for that.
+        # Machine types kept for jobs that fit no other.
         self.scarce: set[str] = set()
-        self.held: dict[str, tuple[str, float]] = {}
         self.idle_line: list[Job] = []
         self.least_cores = 0.0
-        self.limbo_uses: dict[str, quota.Use] = {}
         self.watch_at = 0.0
         # Whether a task of a job that was cancelled some time ago may still be anywhere.
         self.cancellation_overdue = False
@@ -136,6 +128,10 @@
         self.summary_at = 0.0
         self.pace_s = max(settings.report_s / 10, settings.lease_s / 60)
         self.registration = Registration(settings, client, replica, standing, self.pace_s, self._woken)
+        self.limits = TeamLimits(settings, client, self.tables, standing, self.registry)
+        self.gang_room = GangRoom(
+            settings, self.tables, standing, self.registry, self.health, self.limits, self, self.kill, self.pace_s
+        )
         # Work is claimed about this long before it can start.
         self.ahead_s = 0.2 * settings.lease_s
 
@@ -184,8 +180,7 @@
             self.boot = standing.boot
             self.seen_view = 0
             self.registry.reset()
-            self.shrinking.clear()
-            self.surplus_since.clear()
+            self.limits.forget()
             self.releasing.clear()
             self.learnt.released.clear()
             self.learnt.adopted.clear()
@@ -206,7 +201,7 @@
             if standing.owner(name) == me and name not in self.registry.machines:
                 self.registry.take(name, row.address, row.type, row.zone, row.spot, view.number, gone_at)
         self.seen_view = view.number
-        self._reckon_limbo()
+        self.limits.reckon_limbo()
         self.learnt.adopted = dict(self.registry.still_adopting())
         self.learnt.view = view.number
         log.info("view %d: %d machines are ours, %d of them to be heard", view.number, len(self.registry.machines),
@@ -368,13 +363,13 @@
         if self.tables.all_settled():
             self.registry.limbo.clear()
         self.registry.prune_limbo(self.tables, standing.tag)
-        self._reckon_limbo()
+        self.limits.reckon_limbo()
         self._prune_told()
         self._line_up()
         if standing.may_answer:
             self._place_waiting()
         if standing.may_act:
-            self._make_room(now)
+            self.gang_room.make_room(now)
             if self.registry.settled(self.tables, standing.tag) and self.membership.settled != self.seen_view:
                 self.membership.tell(Settled(self.seen_view))
             self._register()
@@ -417,13 +412,6 @@
         self.scarce = placement.scarce_types((job.spec for job in self.line), self.tables.types)
         self.least_cores = min((job.spec.cores for job in self.line), default=0.0)
 
-    def _reckon_limbo(self) -> None:
-        self.limbo_uses = {}
-        for name, mask in self.registry.limbo.items():
-            job = self.tables.jobs.get(name)
-            if job is not None:
-                self.limbo_uses.setdefault(job.spec.team, quota.Use()).add(job.spec, mask.bit_count())
-
     def _watch_over(self, machine: Machine, now: float) -> None:
         if now >= machine.gone_at and (machine.heard or not machine.accounted):
             lost = self.registry.lease_over(machine)
@@ -444,22 +432,22 @@
             # Whether it hangs, is cut off or hears nothing: its deletion ends what is on it in time, also while
             # the state service is down. Should it have got another owner after all, that one counts it as silent:
             # work is lost, nothing is started twice.
-            self._return(machine, "cancelled tasks may be on it", pressing=True)
+            self.return_machine(machine, "cancelled tasks may be on it", pressing=True)
         failed = self.commands.failures.get(machine.name, 0)
         if silent > patience and failed >= 2 and self.standing.may_act and not self._blind(now):
-            self._return(machine, "silent")
+            self.return_machine(machine, "silent")
         elif max(mute_s, deaf_s) > 2 * self.settings.lease_s and self.standing.may_act and not self._blind(now):
             # Its reports come and nothing reaches it, or it answers commands and cannot report: by now its lease is
             # over and it has nothing on it, and it would be paid for in vain for as long as that lasts.
-            self._return(machine, "unreached")
+            self.return_machine(machine, "unreached")
         elif self.health.machine_faulty(machine.name) and self.standing.may_act:
             machine.draining = True
             if not machine.attempts:
-                self._return(machine, "faulty")
+                self.return_machine(machine, "faulty")
         if machine.notice_s is not None:
             for attempt in list(machine.attempts.values()):
                 if attempt.spec.checkpoint_s > 0 and attempt.state == RUNNING:
-                    self._kill(machine, attempt, attempt.spec.save_s)
+                    self.kill(machine, attempt, attempt.spec.save_s)
 
     def _cancellation_overdue(self) -> bool:
         """Whether a job that was cancelled longer ago than a part of the time allowed still has claims."""
@@ -535,7 +523,7 @@
             machine for machine in self.registry.machines.values()
             if machine.spared and machine.reached and machine.attempts and machine.type in self.tables.types
             and machine.use.cores <= LEAN * self.tables.types[machine.type].cores
-            and all(movable(attempt, now) for attempt in machine.attempts.values())
+            and all(preemption.movable(attempt, now) for attempt in machine.attempts.values())
         ]  # fmt: skip
         if not lean:
             return
@@ -546,7 +534,7 @@
                 return
             log.info("%s is not needed: %d tasks save and move", machine.name, len(machine.attempts))
             for attempt in list(machine.attempts.values()):
-                self._kill(machine, attempt, attempt.spec.save_s)
+                self.kill(machine, attempt, attempt.spec.save_s)
 
     def _blind(self, now: float) -> bool:
         """Most machines silent or unreached at once points to our own network; then their leases must do."""
@@ -557,7 +545,8 @@
         )
         return len(heard) > 3 and late > 0.75 * len(heard)
 
-    def _return(self, machine: Machine, why: str, pressing: bool = False) -> None:
+    def return_machine(self, machine: Machine, why: str, pressing: bool = False) -> None:
+        """Has a machine deleted, for the reason that is logged. `pressing`: also while nothing else may be done."""
         machine.draining = True
         if self.fleet is not None and self.fleet.give_back(machine.name, pressing=pressing):
             log.info("%s goes back: %s", machine.name, why)
@@ -603,7 +592,7 @@
         for machine in self.registry.machines.values():
             for attempt in list(machine.attempts.values()):
                 if attempt.job in over:
-                    self._kill(machine, attempt, 0.0)
+                    self.kill(machine, attempt, 0.0)
                     if machine.attempts.get(attempt.task) is attempt:
                         self._note_cancelled(machine, attempt, over[attempt.job], now)
 
@@ -621,7 +610,8 @@
             since = min(since, now - max(0, wall_ms() - job.cancelled_ms) / 1000)
         machine.cancelled_since = min(since, now if machine.cancelled_since is None else machine.cancelled_since)
 
-    def _kill(self, machine: Machine, attempt: Attempt, grace_s: float) -> None:
+    def kill(self, machine: Machine, attempt: Attempt, grace_s: float) -> None:
+        """Stops a task on a machine; it has so long to save."""
         if self.registry.kill(machine, attempt, grace_s) and machine.heard:
             self.commands.send(machine)
 
@@ -650,17 +640,6 @@
         rooms = (self._room(machine, now) for machine in self.registry.machines.values())
         return [room for room in rooms if room is not None]
 
-    def _usable(self, job: str, rooms: list[placement.Room]) -> list[placement.Room]:
-        if self.held:
-            rooms = [room for room in rooms if self.held.get(room.machine, (job, 0.0))[0] == job]
-        if job not in self.health.jobs:
-            return rooms
-        return [room for room in rooms if not self.health.avoid(job, room.machine)]
-
-    def _roomy(self, rooms: list[placement.Room]) -> list[placement.Room]:
-        """Without those that are full by now."""
-        return [room for room in rooms if room.cores + quota.SLACK >= self.least_cores]
-
     def _place_waiting(self) -> None:
         """Puts claimed work on machines; work that came back stands before anything newly claimed."""
         rooms: list[placement.Room] | None = None
@@ -680,7 +659,7 @@
             if rooms is None:
                 rooms = self._rooms(now)
             if rooms and not self.health.paused(name, now) and self._place(job, waiting, rooms, now):
-                rooms = self._roomy(rooms)
+                rooms = placement.roomy(rooms, self.least_cores)
                 waiting = self._idle_claims(job)
             if waiting:
                 self.idle_line.append(job)
@@ -720,10 +699,10 @@
     def _place(self, job: Job, tasks: int, rooms: list[placement.Room], now: float) -> bool:
         name = job.spec.id
         team = job.spec.team
-        tasks = taskset.lowest(tasks, quota.room_for(job.spec, self._allowance(team), self._use(team)))
+        tasks = taskset.lowest(tasks, quota.room_for(job.spec, self.limits.allowance(team), self.limits.use(team)))
         if self.health.job_faulty(name):
             tasks = taskset.lowest(tasks, 1)
-        usable = self._usable(name, rooms)
+        usable = placement.usable(name, rooms, self.gang_room.held, self.health)
         if job.spec.gang:
             if tasks != job.everything:
                 return False
@@ -743,67 +722,6 @@
                 log.debug("%s: %.2f s since the last that it needs", name, (wall_ms() - job.ready_ms) / 1000)
         return True
 
-    def _make_room(self, now: float) -> None:
-        """Stops tasks of lower priority for a gang of one task that fits nowhere. The room is held for it until it
-        is placed or a worker lease is over."""
-        self._release_held(now)
-        if not self.scarce:
-            return
-        positions: dict[str, int] = {}
-        for position, job in enumerate(self.line):
-            positions.setdefault(job.spec.id, position)
-        rooms: dict[str, placement.Room] | None = None
-        for job in self._gangs_without_room(now):
-            if rooms is None:
-                rooms = self._scarce_rooms()
-            fitting = [
-                (room, self.registry.machines[room.machine].attempts.values())
-                for room in self._usable(job.spec.id, list(rooms.values()))
-                if placement.allowed(job.spec, room) and fits_type(job.spec, self.tables.types[room.type])
-            ]
-            chosen = preemption.choose(job, fitting, positions)
-            if chosen is None:
-                continue
-            self.held[chosen.machine] = (job.spec.id, now + self.settings.lease_s)
-            del rooms[chosen.machine]
-            log.info("%s: %d tasks of lower priority stop on %s", job.spec.id, len(chosen.attempts), chosen.machine)
-            machine = self.registry.machines[chosen.machine]
-            for attempt in chosen.attempts:
-                self._kill(machine, attempt, attempt.spec.save_s)
-
-    def _release_held(self, now: float) -> None:
-        """Ends the holding of room whose job is placed, over or has waited long enough."""
-        for name, (holder, until) in list(self.held.items()):
-            job = self.tables.jobs.get(holder)
-            if now >= until or job is None or not job.runnable or not job.unstarted:
-                del self.held[name]
-
-    def _gangs_without_room(self, now: float) -> Iterator[Job]:
-        """Gangs of one task that have waited for room for a while, in the order of the line. The controller at which
-        a job's image is goes first, the others a report later each, so that they do not all make room for it."""
-        members = [member for member, _ in self.standing.view.members]
-        turn = members.index(self.settings.member)
-        passed = {holder for holder, _ in self.held.values()}
-        for job in self.line:
-            spec = job.spec
-            if not (spec.gang and spec.tasks == 1 and job.unstarted) or spec.id in passed:
-                continue
-            passed.add(spec.id)  # it may stand in the line twice
-            wait = 4 * self.pace_s + (0 if self._at_home(job) else (1 + turn) * self.settings.report_s)
-            if now - self.met.get(spec.id, now) < wait or self.health.paused(spec.id, now):
-                continue
-            if self.startable([spec]):
-                yield job
-
-    def _scarce_rooms(self) -> dict[str, placement.Room]:
-        """What is free on machines of types that some live job fits and others not, by machine."""
-        return {
-            machine.name: self.registry.room(machine, self.tables.types[machine.type])
-            for machine in self.registry.machines.values()
-            if machine.type in self.scarce and machine.type in self.tables.types
-            and self.registry.usable(machine) and machine.name in self.tables.machines
-        }  # fmt: skip
-
     def _number(self) -> int:
         """An attempt number that no other controller, and no other view, gives out."""
         self.counter += 1
@@ -811,23 +729,6 @@
         position = tags.index(self.settings.member)
         return (self.standing.view.number << 28) + (position << 24) + self.counter % (1 << 24)
 
-    def _use(self, team: str) -> quota.Use:
-        """What tasks of the team that may exist under this controller's responsibility use."""
-        use = self.registry.uses.get(team, quota.Use())
-        limbo = self.limbo_uses.get(team, quota.Use())
-        return quota.Use(use.cores + limbo.cores, use.gpus + limbo.gpus)
-
-    def _allowance(self, team: str) -> tuple[float, float]:
-        """What may be used now: the stored allowance, or less while a smaller one is being stored."""
-        cores, gpus = self.tables.allowance(team, self.standing.tag)
-        shrinking = self.shrinking.get(team)
-        if shrinking is not None:
-            # A write without an answer may be carried out until another one makes its condition false.
-            if shrinking[0] == self.tables.stamp(t.team_key(team)):
-                return min(cores, shrinking[1]), min(gpus, shrinking[2])
-            del self.shrinking[team]
-        return cores, gpus
-
     def _request_claims(self) -> None:
         """Asks the jobs actor for work for the free room, and for the allowances that it takes."""
         if self.requesting or self.replica.client.failing_since is not None:
@@ -835,42 +736,37 @@
         now = self.now()
         members = [member for member, _ in self.standing.view.members]
         self.met = {job.spec.id: self.met.get(job.spec.id, now) for job in self.line}
-        planner = ClaimPlanner(self, now)
-        request = planner.plan(self.line, len(members), members.index(self.settings.member))
-        self._request_allowances(request, planner.useful, len(members), now)
+        limits = PlanLimits.of(self.settings, self.client.txn_ops, self.pace_s)
+        planner = ClaimPlanner(self.picture(now), limits, self.tables)
+        claims = planner.plan(self.line, len(members), members.index(self.settings.member))
+        request = ClaimRequest(wants=claims.wants, zones=claims.zones, picks=claims.picks)
+        self.limits.request_allowances(request, claims.useful, len(members), now)
         if request.wants or request.grow or request.shrink:
             self.requesting = True
             assert self.group is not None
             self.group.start_soon(self._ask_for, request)
 
-    def _request_allowances(
-        self, request: ClaimRequest, useful: dict[str, quota.Use], controllers: int, now: float
-    ) -> None:
-        """Adds the allowances to ask for, given what each team could put to use on these machines."""
-        # Some changes of a round are left for claims.
-        max_teams = max(1, min(self.client.txn_ops // 2, self.client.most_changes(Urgency.CLAIM) - 1))
-        for name, use in useful.items():
-            if len(request.grow) + len(request.shrink) >= max_teams:
-                break
-            team = self.settings.teams[name]
-            part = Allowance(team, self._allowance(name), use, self.tables.unallotted(team), controllers)
-            if part.short:
-                self.surplus_since.pop(name, None)
-                if name in self.shrinking or part.any_free:
-                    request.grow[name] = part.larger
-            elif not part.in_surplus:
-                self.surplus_since.pop(name, None)
-            elif now - self.surplus_since.setdefault(name, now) > 2 * self.settings.report_s:
-                # Returned after a while: the next job of the team is likely to want it again.
-                request.shrink[name] = (self.tables.stamp(t.team_key(name)), *part.smaller)
-                self.shrinking[name] = request.shrink[name]
-                del self.surplus_since[name]
-        # A smaller allowance may be under way and its answer lost, and until something else is written we
-        # hold ourselves to it. Found on the bench: a team stood still, since growing back to what was
-        # stored all along wrote nothing.
-        request.rewrite = {name for name in request.grow if name in self.shrinking}
-
-    def _at_home(self, job: Job) -> bool:
+    def picture(self, now: float) -> RoomPicture:
+        """What is free here, and what may be used, for the planner to take from."""
+        teams = self.settings.teams
+        tag = self.standing.tag
+        uses = {team: self.limits.use(team) for team in teams}
+        return RoomPicture(
+            rooms=self._rooms(now),
+            uses=uses,
+            spare={team.name: self.limits.spare(team, uses[team.name]) for team in teams.values()},
+            allowances={team: self.limits.allowance(team) for team in teams},
+            idle_claims={job.spec.id: self._idle_claims(job) for job in self.line if tag in job.progress.claims},
+            cores_ahead=self._cores_ahead(),
+            least_cores=self.least_cores,
+            held=self.gang_room.held,
+            health=self.health,
+            met=self.met,
+            at_home=self.at_home,
+            now=now,
+        )
+
+    def at_home(self, job: Job) -> bool:
         """Whether the job's image is one that this controller's machines are to have."""
         return self.standing.owner("image " + job.spec.image) == self.settings.member
 
@@ -884,21 +780,6 @@
                 cores += mask.bit_count() * job.spec.cores * share
         return cores
 
-    def _spare(self, team: Team, use: quota.Use) -> tuple[float, float]:
-        """The most that this controller could be allowed now: its allowance and what nobody holds."""
-        cores, gpus = self.tables.allowance(team.name, self.standing.tag)
-        more_cores, more_gpus = self.tables.unallotted(team)
-        return max(cores + more_cores, use.cores), max(gpus + more_gpus, use.gpus)
-
-    def startable(self, specs: list[wire.JobSpec]) -> list[wire.JobSpec]:
-        """Those of which the team's limit leaves this controller room for one more task."""
-        uses = {team: self._use(team) for team in self.settings.teams}
-        spare = {team.name: self._spare(team, uses[team.name]) for team in self.settings.teams.values()}
-        return [
-            spec for spec in specs
-            if spec.team in spare and quota.room_for(spec, spare[spec.team], uses[spec.team]) > 0
-        ]  # fmt: skip
-
     async def _ask_for(self, request: ClaimRequest) -> None:
         try:
             await self.jobs.ask(request)
--- /dev/null
+++ b/sloeswitch/actors/team_limits.py
@@ -0,0 +1,109 @@
+"""Team limits as one controller sees them: what teams use here, what they may use, and the allowances to ask for.
+
+Owns the smaller allowances that are being stored, and since when an allowance has been larger than needed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.membership import Standing
+from sloeswitch.core import quota
+from sloeswitch.core import tables as t
+from sloeswitch.core.allowances import Allowance
+from sloeswitch.core.registry import MachineRegistry
+from sloeswitch.core.tables import Tables
+from sloeswitch.settings import Settings, Team
+from sloeswitch.state import StateClient, Urgency
+from sloeswitch.wire import JobSpec
+
+
+class TeamLimits:
+    """Reckons with what is stored and with what may exist under this controller's responsibility."""
+
+    def __init__(
+        self, settings: Settings, client: StateClient, tables: Tables, standing: Standing, registry: MachineRegistry
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.client = client
+        self.tables = tables
+        self.standing = standing
+        self.registry = registry
+        # Smaller allowances being stored: team -> (stamp it relies on, cores, gpus).
+        self.shrinking: dict[str, tuple[int, float, float]] = {}
+        self.surplus_since: dict[str, float] = {}
+        # What tasks use that may be somewhere, and are on no machine that was heard (see registry).
+        self.limbo_uses: dict[str, quota.Use] = {}
+
+    def forget(self) -> None:
+        """Another run of this controller begins: nothing is under way."""
+        self.shrinking.clear()
+        self.surplus_since.clear()
+
+    def reckon_limbo(self) -> None:
+        """Reckons anew what tasks use whose place is not known."""
+        self.limbo_uses = {}
+        for name, mask in self.registry.limbo.items():
+            job = self.tables.jobs.get(name)
+            if job is not None:
+                self.limbo_uses.setdefault(job.spec.team, quota.Use()).add(job.spec, mask.bit_count())
+
+    def use(self, team: str) -> quota.Use:
+        """What tasks of the team that may exist under this controller's responsibility use."""
+        use = self.registry.uses.get(team, quota.Use())
+        limbo = self.limbo_uses.get(team, quota.Use())
+        return quota.Use(use.cores + limbo.cores, use.gpus + limbo.gpus)
+
+    def allowance(self, team: str) -> tuple[float, float]:
+        """What may be used now: the stored allowance, or less while a smaller one is being stored."""
+        cores, gpus = self.tables.allowance(team, self.standing.tag)
+        shrinking = self.shrinking.get(team)
+        if shrinking is not None:
+            # A write without an answer may be carried out until another one makes its condition false.
+            if shrinking[0] == self.tables.stamp(t.team_key(team)):
+                return min(cores, shrinking[1]), min(gpus, shrinking[2])
+            del self.shrinking[team]
+        return cores, gpus
+
+    def spare(self, team: Team, use: quota.Use) -> tuple[float, float]:
+        """The most that this controller could be allowed now: its allowance and what nobody holds."""
+        cores, gpus = self.tables.allowance(team.name, self.standing.tag)
+        more_cores, more_gpus = self.tables.unallotted(team)
+        return max(cores + more_cores, use.cores), max(gpus + more_gpus, use.gpus)
+
+    def startable(self, specs: Iterable[JobSpec]) -> list[JobSpec]:
+        """Those of which the team's limit leaves this controller room for one more task."""
+        uses = {team: self.use(team) for team in self.settings.teams}
+        spare = {team.name: self.spare(team, uses[team.name]) for team in self.settings.teams.values()}
+        return [
+            spec for spec in specs
+            if spec.team in spare and quota.room_for(spec, spare[spec.team], uses[spec.team]) > 0
+        ]  # fmt: skip
+
+    def request_allowances(
+        self, request: ClaimRequest, useful: Mapping[str, quota.Use], controllers: int, now: float
+    ) -> None:
+        """Adds the allowances to ask for, given what each team could put to use on these machines."""
+        # Some changes of a round are left for claims.
+        max_teams = max(1, min(self.client.txn_ops // 2, self.client.most_changes(Urgency.CLAIM) - 1))
+        for name, use in useful.items():
+            if len(request.grow) + len(request.shrink) >= max_teams:
+                break
+            team = self.settings.teams[name]
+            part = Allowance(team, self.allowance(name), use, self.tables.unallotted(team), controllers)
+            if part.short:
+                self.surplus_since.pop(name, None)
+                if name in self.shrinking or part.any_free:
+                    request.grow[name] = part.larger
+            elif not part.in_surplus:
+                self.surplus_since.pop(name, None)
+            elif now - self.surplus_since.setdefault(name, now) > 2 * self.settings.report_s:
+                # Returned after a while: the next job of the team is likely to want it again.
+                request.shrink[name] = (self.tables.stamp(t.team_key(name)), *part.smaller)
+                self.shrinking[name] = request.shrink[name]
+                del self.surplus_since[name]
+        # A smaller allowance may be under way and its answer lost, and until something else is written we
+        # hold ourselves to it. Found on the bench: a team stood still, since growing back to what was
+        # stored all along wrote nothing.
+        request.rewrite = {name for name in request.grow if name in self.shrinking}
--- a/sloeswitch/actors/claim_planner.py
+++ b/sloeswitch/core/claim_planner.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 
-from sloeswitch.actors.jobs import ClaimRequest
 from sloeswitch.core import placement, quota, ready, taskset
-from sloeswitch.core.tables import Job
+from sloeswitch.core.health import Health
+from sloeswitch.core.tables import Job, Tables
+from sloeswitch.settings import Settings
 from sloeswitch.wire import JobSpec
 
-if TYPE_CHECKING:
-    from sloeswitch.actors.machines import Machines
-
 # How many machines a processor core looks at in a second, at the least, when work is placed on paper. A look takes no
 # more than a quarter of the time between two reports for it, once it has found all that one transaction can claim.
 ROOMS_PER_CORE_S = 200_000
@@ -30,6 +29,64 @@
     return spec.cores, spec.gpus, spec.memory, types, spec.zone, spec.spot
 
 
+@dataclass(frozen=True)
+class RoomPicture:
+    """What one controller has free and may use, as of one moment. The planner takes room on paper from `rooms`."""
+
+    rooms: list[placement.Room]
+    # By team: what its tasks here use, the most that this controller could be allowed, and what it is allowed now.
+    uses: Mapping[str, quota.Use]
+    spare: Mapping[str, tuple[float, float]]
+    allowances: Mapping[str, tuple[float, float]]
+    # Sets of tasks, by job, that this controller has claimed and not placed.
+    idle_claims: Mapping[str, int]
+    # Cores likely to fall free in the time that a claim takes, and the smallest amount that any job wants.
+    cores_ahead: float
+    least_cores: float
+    # Machines on which room is kept for a job, and the jobs' failures on machines.
+    held: Mapping[str, tuple[str, float]]
+    health: Health
+    # When the jobs of the line were first seen there, and which of them have their images at home here.
+    met: Mapping[str, float]
+    at_home: Callable[[Job], bool]
+    now: float
+
+
+@dataclass(frozen=True)
+class PlanLimits:
+    """How much one look may ask for, and how much it may take."""
+
+    # Jobs of which one transaction can claim.
+    max_jobs: int
+    # Machines looked at, once that is reached.
+    max_rooms_seen: float
+    # Seconds for which a new job is left to the controller at which its image is.
+    home_s: float
+
+    @staticmethod
+    def of(settings: Settings, txn_ops: int, pace_s: float) -> PlanLimits:
+        """The limits by the settings; `txn_ops`: the changes that a transaction takes now."""
+        return PlanLimits(
+            max_jobs=max(1, txn_ops // 2),
+            max_rooms_seen=LOOK_SHARE * ROOMS_PER_CORE_S * settings.cores * settings.report_s,
+            home_s=HOME_TICKS * pace_s,
+        )
+
+
+@dataclass
+class ClaimPlan:
+    """The claims to ask for."""
+
+    # By job: how many tasks, the zone to be stored, and which tasks where these are bound to zones.
+    wants: dict[str, int] = field(default_factory=dict)
+    zones: dict[str, str] = field(default_factory=dict)
+    picks: dict[str, int] = field(default_factory=dict)
+    # What each team could put to use on these machines: what runs, what waits, and what is open.
+    useful: dict[str, quota.Use] = field(default_factory=dict)
+    # What is left when everybody in the line has had a look; None if some had not.
+    rooms_left: list[placement.Room] | None = None
+
+
 class ClaimPlanner:
     """Goes through the line once, taking room on paper as it goes.
 
@@ -37,94 +94,90 @@
     next task with the answer instead of after a write.
     """
 
-    def __init__(self, machines: Machines, now: float) -> None:
-        self.machines = machines
-        self.now = now
-        self.settled = machines.tables.all_settled()
-        self.rooms = machines._rooms(now)
-        teams = machines.settings.teams
-        # What each team could put to use on these machines: what runs, what waits, and what is open.
-        self.useful = {team: machines._use(team) for team in teams}
-        self.spare = {team.name: machines._spare(team, self.useful[team.name]) for team in teams.values()}
-        self.ahead_cores = machines._cores_ahead()
-        self.max_jobs = max(1, machines.client.txn_ops // 2)
-        settings = machines.settings
-        self.max_rooms_seen = LOOK_SHARE * ROOMS_PER_CORE_S * settings.cores * settings.report_s
+    def __init__(self, picture: RoomPicture, limits: PlanLimits, tables: Tables) -> None:
+        self.picture = picture
+        self.limits = limits
+        self.tables = tables
+        self.settled = tables.all_settled()
+        self.rooms = picture.rooms
+        self.ahead_cores = picture.cores_ahead
         self.rooms_seen = 0
         # What fitted no machine on paper; room only becomes less.
         self.no_room: set[Shape] = set()
         # By job: what was placed on paper.
         self.taken: dict[str, int] = {}
-        self.request = ClaimRequest()
+        self.claims = ClaimPlan(useful={team: quota.Use(use.cores, use.gpus) for team, use in picture.uses.items()})
 
-    def plan(self, line: list[Job], controllers: int, turn: int) -> ClaimRequest:
+    def plan(self, line: list[Job], controllers: int, turn: int) -> ClaimPlan:
         """The claims to ask for. `turn`: this controller's place among them, so that not all claim the same job."""
-        for job in ready.dealt(line, controllers, turn, self.machines._at_home):
-            if not self.rooms and self.ahead_cores < self.machines.least_cores:
+        for job in ready.dealt(line, controllers, turn, self.picture.at_home):
+            if not self.rooms and self.ahead_cores < self.picture.least_cores:
+                self.claims.rooms_left = []
                 break  # nobody further back can get anything: with a backlog the line is long, and looked at often
-            if len(self.request.wants) >= self.max_jobs and self.rooms_seen > self.max_rooms_seen:
+            if len(self.claims.wants) >= self.limits.max_jobs and self.rooms_seen > self.limits.max_rooms_seen:
                 # Guards against a look that takes seconds: with thousands of machines empty and hundreds of jobs in
                 # the line it outlasted the controller's lease.
                 self._keep_allowances()
                 break
-            if job.spec.team in self.useful and not self._left_to_others(job):
+            if job.spec.team in self.claims.useful and not self._left_to_others(job):
                 self._consider(job)
-        return self.request
+        else:
+            self.claims.rooms_left = self.rooms
+        return self.claims
 
     def _keep_allowances(self) -> None:
         """What the teams have may be of use to jobs further back that are not looked at, as far as there is room."""
         free_cores = sum(room.cores for room in self.rooms)
         free_gpus = sum(room.gpus for room in self.rooms)
-        for team, use in self.useful.items():
-            cores, gpus = self.machines._allowance(team)
-            self.useful[team] = quota.Use(
+        for team, use in self.claims.useful.items():
+            cores, gpus = self.picture.allowances[team]
+            self.claims.useful[team] = quota.Use(
                 max(use.cores, min(cores, use.cores + free_cores)), max(use.gpus, min(gpus, use.gpus + free_gpus))
             )
 
     def _left_to_others(self, job: Job) -> bool:
         """A new job is left to the controller at which its image is, for as long as a claim takes."""
-        machines = self.machines
-        is_new = self.now - machines.met[job.spec.id] < HOME_TICKS * machines.pace_s
-        return not job.progress.claims and is_new and not machines._at_home(job)
+        is_new = self.picture.now - self.picture.met[job.spec.id] < self.limits.home_s
+        return not job.progress.claims and is_new and not self.picture.at_home(job)
 
     def _consider(self, job: Job) -> None:
         spec = job.spec
         # One that stands in the line twice has had a part of its tasks already.
         had = self.taken.get(spec.id)
-        idle = 0 if had else self.machines._idle_claims(job)
-        open_tasks = self.machines.tables.open_tasks(job, self.settled) & ~(had or 0)
-        if not (open_tasks or idle) or self.machines.health.paused(spec.id, self.now):
+        idle = 0 if had else self.picture.idle_claims.get(spec.id, 0)
+        open_tasks = self.tables.open_tasks(job, self.settled) & ~(had or 0)
+        if not (open_tasks or idle) or self.picture.health.paused(spec.id, self.picture.now):
             return
         count = self._max_tasks(job, open_tasks.bit_count() + idle.bit_count(), first_place=had is None)
         if count == 0 or (spec.gang and count < spec.tasks):
             return
-        usable = self.machines._usable(spec.id, self.rooms)
+        usable = placement.usable(spec.id, self.rooms, self.picture.held, self.picture.health)
         if spec.bound and not self._choose_zone(job, usable):
             return  # nothing is claimed before its zone can be chosen
         placed = self._place(job, open_tasks, idle, count, usable)
         if spec.gang and placed.bit_count() < spec.tasks:
             return
-        self.useful[spec.team].add(spec, placed.bit_count())
+        self.claims.useful[spec.team].add(spec, placed.bit_count())
         self._claim(job, open_tasks, idle, count, placed)
 
     def _max_tasks(self, job: Job, count: int, first_place: bool) -> int:
         """How many of so many tasks may be taken now, by the job's health, its turn and its team's limit."""
         spec = job.spec
-        if self.machines.health.job_faulty(spec.id):
+        if self.picture.health.job_faulty(spec.id):
             count = min(count, 1)
         elif job.beginning and not spec.gang and first_place:
             count = min(count, math.ceil(ready.BEGINNING * spec.tasks))
-        return min(count, quota.room_for(spec, self.spare[spec.team], self.useful[spec.team]))
+        return min(count, quota.room_for(spec, self.picture.spare[spec.team], self.claims.useful[spec.team]))
 
     def _choose_zone(self, job: Job, usable: list[placement.Room]) -> bool:
         """Chooses the zone of a job whose tasks are bound to one, if it has none yet; False when there is no room."""
         spec = job.spec
-        if job.progress.zone is not None or spec.id in self.request.zones:
+        if job.progress.zone is not None or spec.id in self.claims.zones:
             return True
         fitting = [room for room in usable if placement.allowed(spec, room) and room.count(spec)]
         if not fitting:
             return False
-        self.request.zones[spec.id] = max(fitting, key=lambda room: room.count(spec)).zone
+        self.claims.zones[spec.id] = max(fitting, key=lambda room: room.count(spec)).zone
         return True
 
     def _place(self, job: Job, open_tasks: int, idle: int, count: int, usable: list[placement.Room]) -> int:
@@ -138,14 +191,14 @@
         self.rooms_seen += len(trial)
         # Where tasks are bound to zones it matters which ones: the oldest may have no room where others have.
         tasks = open_tasks if spec.bound else taskset.lowest(open_tasks, max(0, count - idle.bit_count()))
-        zone = self.request.zones.get(spec.id)
+        zone = self.claims.zones.get(spec.id)
         found = placement.place(job, tasks | taskset.lowest(idle, count), trial, zone, count)
         placed = sum(1 << index for index, _ in found)
         if not found and len(trial) == len(self.rooms) and not spec.bound:
             self.no_room.add(shape)
         self.taken[spec.id] = placed
         if placed:
-            self.rooms = self.machines._roomy(self.rooms)
+            self.rooms = placement.roomy(self.rooms, self.picture.least_cores)
         return placed
 
     def _claim(self, job: Job, open_tasks: int, idle: int, count: int, placed: int) -> None:
@@ -159,9 +212,9 @@
             self.ahead_cores -= ahead * spec.cores
         want = min(open_tasks.bit_count(), max(0, found + ahead - waiting))
         worth_a_write = found > waiting or 2 * waiting < ahead
-        request = self.request
-        if not want or not worth_a_write or len(request.wants) >= self.max_jobs:
+        claims = self.claims
+        if not want or not worth_a_write or len(claims.wants) >= self.limits.max_jobs:
             return
-        request.wants[spec.id] = request.wants.get(spec.id, 0) + want
+        claims.wants[spec.id] = claims.wants.get(spec.id, 0) + want
         if spec.bound:
-            request.picks[spec.id] = request.picks.get(spec.id, 0) | placed & open_tasks
+            claims.picks[spec.id] = claims.picks.get(spec.id, 0) | placed & open_tasks
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from sloeswitch.core import taskset
+from sloeswitch.core.health import Health
 from sloeswitch.core.quota import SLACK, fits_type
 from sloeswitch.core.tables import Job
 from sloeswitch.wire import MAX_TASKS, JobSpec, MachineType
@@ -53,6 +54,21 @@
     )
 
 
+def usable(job: str, rooms: list[Room], held: Mapping[str, tuple[str, float]], health: Health) -> list[Room]:
+    """The machines that a job may use: not those on which room is kept for another one (`held`: machine -> job, and
+    until when), nor those on which it failed."""
+    if held:
+        rooms = [room for room in rooms if held.get(room.machine, (job, 0.0))[0] == job]
+    if job not in health.jobs:
+        return rooms
+    return [room for room in rooms if not health.avoid(job, room.machine)]
+
+
+def roomy(rooms: list[Room], least_cores: float) -> list[Room]:
+    """Without the machines that are full by now."""
+    return [room for room in rooms if room.cores + SLACK >= least_cores]
+
+
 def zone_allows(spec: JobSpec, index: int, zone: str, home: str | None) -> bool:
     """The zone rules of a job's tasks against each other, by the job's stored zone; nowhere before there is one.
     `together`: all in that zone. `spread`: the lower half of the tasks, rounded up, in it, the others anywhere else;
--- a/sloeswitch/core/preemption.py
+++ b/sloeswitch/core/preemption.py
@@ -1,4 +1,4 @@
-"""Which tasks of lower priority stop so that a task of a more urgent job finds room."""
+"""Which tasks of lower priority stop so that a task of a more urgent job finds room, and which move for little."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from sloeswitch.core.placement import Room
 from sloeswitch.core.ready import RANK, urgency
-from sloeswitch.core.registry import Attempt
+from sloeswitch.core.registry import RUNNING, Attempt
 from sloeswitch.core.tables import Job
 from sloeswitch.wire import JobSpec
 
@@ -32,6 +32,15 @@
     ]  # fmt: skip
 
 
+def movable(attempt: Attempt, now: float) -> bool:
+    """Whether an attempt can be stopped and go on elsewhere for little: it saves, and is not new."""
+    spec = attempt.spec
+    return (
+        spec.checkpoint_s > 0 and not spec.gang and attempt.state == RUNNING and attempt.kill_grace_s is None
+        and attempt.running_at is not None and now - attempt.running_at > 2 * spec.checkpoint_s
+    )  # fmt: skip
+
+
 def victims(spec: JobSpec, room: Room, attempts: list[Attempt]) -> list[Attempt]:
     """Which of the attempts have to stop, the youngest first, so that one task of the job fits the machine; none
     if it does not fit then either."""
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -313,10 +313,10 @@
 def test_shrinking_allowance_is_kept_to_until_its_write_is_decided(world: World) -> None:
     """Failure found by reasoning after a standstill: growing back must write, or nothing ever decides it."""
     world.store.put(t.team_key("red"), {"c0.1": [20.0, 0.0]})
-    world.machines.shrinking["red"] = (world.store.tables.stamp(t.team_key("red")), 4.0, 0.0)
-    assert world.machines._allowance("red") == (4.0, 0.0)
+    world.machines.limits.shrinking["red"] = (world.store.tables.stamp(t.team_key("red")), 4.0, 0.0)
+    assert world.machines.limits.allowance("red") == (4.0, 0.0)
     world.round(ClaimRequest(grow={"red": (12.0, 0.0)}, rewrite={"red"}))
-    assert world.machines._allowance("red") == (20.0, 0.0)
+    assert world.machines.limits.allowance("red") == (20.0, 0.0)
 
 
 def test_malformed_report_is_refused(world: World) -> None:
--- a/tests/test_added_rules.py
+++ b/tests/test_added_rules.py
@@ -149,7 +149,7 @@
 def test_a_machine_that_nothing_reaches_is_returned_after_two_leases(world: World) -> None:
     machine = world.machines.registry.machines["vm-1"]
     returned: list[str] = []
-    world.machines._return = lambda machine, why, pressing=False: returned.append(why)  # type: ignore[method-assign]
+    world.machines.return_machine = lambda machine, why, pressing=False: returned.append(why)  # type: ignore[method-assign]
     serial = 3
     for _ in range(int(2.5 * LEASE_S)):
         later(world, 1.0)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -84,7 +84,7 @@
     machine_up(world)
     store.job(spec())
     world.round(ClaimRequest(wants={"wk-000001": 4}, grow={"red": (8.0, 0.0)}))
-    assert world.machines._use("red").cores == 8.0
+    assert world.machines.limits.use("red").cores == 8.0
     assert surplus_given_up(world, {"c0.1": [20.0, 0.0]}) == {"red": 8.0}
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -62,7 +62,7 @@
 
 
 def deleted(world: World) -> list[str]:
-    assert world.machines.fleet is not None
+    assert isinstance(world.machines.fleet, Fleet)
     world.machines.fleet.wake = anyio.Event()  # of this event loop
     return deletions(world, world.machines.fleet)
 
@@ -361,7 +361,7 @@
     world.store.job(spec(spread=True))
     world.store.put(t.team_key("red"), {"c0.1": [2.0, 0.0]})
     world.store.put(t.progress_key(JOB), {"d": [], "c": {"c1.9": [0, 1]}, "z": "b"})
-    world.machines._spare = lambda team, use: (2.0, 0.0)  # type: ignore[method-assign]
+    world.machines.limits.spare = lambda team, use: (2.0, 0.0)  # type: ignore[method-assign]
     world.machines._line_up()
     (asked,) = world.claim_requests()
     assert asked.picks == {JOB: 0b0100}
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -57,8 +57,8 @@
                           for job in world.machines.line}  # fmt: skip
     machine(world).heard = True
     kill = world.machines.registry.kill
-    world.machines._kill = kill  # type: ignore[assignment,method-assign]
-    world.machines._make_room(world.clock.time)
+    world.machines.gang_room.kill = kill  # type: ignore[assignment]
+    world.machines.gang_room.make_room(world.clock.time)
     return sum(attempt.kill_grace_s is not None for attempt in machine(world).attempts.values())
 
 
@@ -95,14 +95,14 @@
 def test_the_room_is_held_no_longer_than_needed_or_a_worker_lease(world: World, cancelled: bool) -> None:
     world.store.job(spec(SOLVE, **GANG))
     tick(world, 0.1)
-    assert tick(world, 2.5) == 30 and "vm-1" in world.machines.held
+    assert tick(world, 2.5) == 30 and "vm-1" in world.machines.gang_room.held
     if cancelled:
         world.store.job(spec(SOLVE, **GANG), t.WITHDRAWN)
     tick(world, 0.1)
-    assert bool(world.machines.held) != cancelled
+    assert bool(world.machines.gang_room.held) != cancelled
     # The tasks do not stop, and no others may.
     tick(world, world.settings.lease_s)
-    assert not world.machines.held
+    assert not world.machines.gang_room.held
 
 
 @pytest.mark.parametrize("urgency", ["standard", "critical"])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,11 +10,12 @@
 
 from sloeswitch import wire
 from sloeswitch.actors import machines as machines_module
-from sloeswitch.actors.claim_planner import ClaimPlanner
 from sloeswitch.actors.fleet import Fleet
+from sloeswitch.actors.jobs import ClaimRequest
 from sloeswitch.cloud import CloudClient
 from sloeswitch.core import placement
 from sloeswitch.core import tables as t
+from sloeswitch.core.claim_planner import ClaimPlanner, PlanLimits
 from sloeswitch.core.rendezvous import owner
 from sloeswitch.http import Reply
 from tests.conftest import MACHINE_TYPE, spec
@@ -60,6 +61,12 @@
     assert all(size < wire.MAX_BODY for _, size in fleet.transactions)
 
 
+def claim_planner(fleet: FleetWorld) -> ClaimPlanner:
+    machines = fleet.machines
+    limits = PlanLimits.of(fleet.settings, fleet.client.txn_ops, machines.pace_s)
+    return ClaimPlanner(machines.picture(fleet.clock.time), limits, fleet.store.tables)
+
+
 def test_a_look_for_claims_is_bounded_and_gives_no_allowance_back(fleet: FleetWorld) -> None:
     """Four thousand machines with room, and five hundred jobs that want it."""
     fleet.store_all()
@@ -69,13 +76,14 @@
     fleet.tick()
     machines = fleet.machines
     machines.met = {job.spec.id: fleet.clock.time - 100 for job in machines.line}
-    planner = ClaimPlanner(machines, fleet.clock.time)
-    request = planner.plan(machines.line, 1, 0)
-    assert len(request.wants) == planner.max_jobs
-    assert planner.rooms_seen <= planner.max_rooms_seen + planner.max_jobs * MACHINES
+    planner = claim_planner(fleet)
+    claims = planner.plan(machines.line, 1, 0)
+    assert len(claims.wants) == planner.limits.max_jobs
+    assert planner.rooms_seen <= planner.limits.max_rooms_seen + planner.limits.max_jobs * MACHINES
+    request = ClaimRequest()
     # What the jobs further back could use is not reckoned, and yet no surplus as far as there is room for it.
     for later_s in (0.0, 3 * fleet.settings.report_s):
-        machines._request_allowances(request, planner.useful, 1, fleet.clock.time + later_s)
+        machines.limits.request_allowances(request, claims.useful, 1, fleet.clock.time + later_s)
     _, cores, _ = request.shrink["red"]
     assert 0.95 * 8.0 * MACHINES < cores < 1.05 * 8.0 * MACHINES
 
@@ -97,7 +105,7 @@
         return place(*args)
 
     monkeypatch.setattr(placement, "place", counted)
-    planner = ClaimPlanner(machines, fleet.clock.time)
+    planner = claim_planner(fleet)
     planner.plan(machines.line, 1, 0)
     # The one that fits stands in the line twice, having waited for long.
     assert looks == 3 and planner.taken["wk-800000"]
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -311,7 +311,7 @@
         self.machines.pace_s = self.machines.registration.pace_s = self.jobs.batch_s = 0.0
         self.inbox: list[CommandReply | Deleted | Inspected] = []
         if world.troubled:
-            self.machines.fleet = ScriptedCloud(self)  # type: ignore[assignment]
+            self.machines.fleet = ScriptedCloud(self)
         self.group = Group(self)
         self.machines.group = self.group  # type: ignore[assignment]
         self.asked: list[ClaimRequest] = []
