Gangs of one stop a part of what goes by age, and their team's own work at its limit

A team at its limit through its own work had nothing stopped for it either.

Change: a job that goes by age lends half of its running tasks to gangs of one of higher priority, so that it goes on as its bound asks. At the limit tasks of the team itself stop, and what is freed of the limit is kept for the gang until it is placed, on paper and on machines; what stops counts until it is gone.

Result: tests/test_preemption.py and tests/test_room.py; without keeping the freed part the latter fails.

--- a/sloeswitch/actors/gang_room.py
+++ b/sloeswitch/actors/gang_room.py
@@ -8,7 +8,7 @@
 
 from sloeswitch.actors.membership import Standing
 from sloeswitch.actors.team_limits import TeamLimits
-from sloeswitch.core import placement, preemption
+from sloeswitch.core import placement, preemption, quota
 from sloeswitch.core.health import Health
 from sloeswitch.core.quota import fits_type
 from sloeswitch.core.registry import Attempt, Machine, MachineRegistry
@@ -54,9 +54,7 @@
         self._release_held(now)
         if not self.line.scarce:
             return
-        positions: dict[str, int] = {}
-        for position, job in enumerate(self.line.line):
-            positions.setdefault(job.spec.id, position)
+        order = preemption.LineOrder.of(self.line.line, self.registry.placed)
         rooms: dict[str, placement.Room] | None = None
         for job in self._gangs_without_room(now):
             if rooms is None:
@@ -66,15 +64,60 @@
                 for room in placement.usable(job.spec.id, list(rooms.values()), self.held, self.health)
                 if placement.allowed(job.spec, room) and fits_type(job.spec, self.tables.types[room.type])
             ]
-            chosen = preemption.choose(job, fitting, positions)
+            short = self.limits.shortfall(job.spec)
+            at_limit = short.cores > 0 or short.gpus > 0
+            chosen = preemption.choose(job, fitting, order, at_limit)
             if chosen is None:
                 continue
+            more = self._of_the_team(job, chosen, short, order) if at_limit else []
+            if more is None:
+                continue
             self.held[chosen.machine] = (job.spec.id, now + self.settings.lease_s)
             del rooms[chosen.machine]
             log.info("%s: %d tasks of lower priority stop on %s", job.spec.id, len(chosen.attempts), chosen.machine)
-            machine = self.registry.machines[chosen.machine]
-            for attempt in chosen.attempts:
-                self.kill(machine, attempt, attempt.spec.save_s)
+            if more:
+                log.info("%s: %d more tasks of %s stop, which is at its limit", job.spec.id, len(more), job.spec.team)
+            self._stop([*chosen.attempts, *more])
+
+    def _of_the_team(
+        self, job: Job, chosen: preemption.Preemption, short: quota.Use, order: preemption.LineOrder
+    ) -> list[Attempt] | None:
+        """The team's tasks on other machines that have to stop so that its limit has room for the gang; None when that
+        is not to be had. Whatever stops counts until it is gone."""
+        spec = job.spec
+        for attempt in chosen.attempts:
+            if attempt.spec.team == spec.team:
+                short = quota.Use(short.cores - attempt.spec.cores, short.gpus - attempt.spec.gpus)
+        others = [
+            attempt for machine in self.registry.machines.values() if machine.name != chosen.machine
+            for attempt in machine.attempts.values() if attempt.spec.team == spec.team
+        ]  # fmt: skip
+        return preemption.within_limit(spec, short, preemption.preemptible(job, others, order))
+
+    def _stop(self, attempts: list[Attempt]) -> None:
+        keys = {attempt.key for attempt in attempts}
+        for machine in self.registry.machines.values():
+            for attempt in list(machine.attempts.values()):
+                if attempt.key in keys:
+                    self.kill(machine, attempt, attempt.spec.save_s)
+
+    def reserved(self) -> dict[str, tuple[str, quota.Use]]:
+        """What gangs for which room is held, and which are not placed, want of their teams' limits: team and amounts.
+        Guards against small tasks of the team that take one by one what was freed for a gang."""
+        found: dict[str, tuple[str, quota.Use]] = {}
+        for holder, _until in self.held.values():
+            job = self.tables.jobs.get(holder)
+            if job is not None and not self.registry.placed.get(holder):
+                found[holder] = (job.spec.team, quota.Use(job.spec.cores, job.spec.gpus))
+        return found
+
+    def use_beside(self, job: Job) -> quota.Use:
+        """What the team uses or is reserved of its limit, for a job to be placed beside."""
+        use = self.limits.use(job.spec.team)
+        for holder, (team, reserved) in self.reserved().items():
+            if team == job.spec.team and holder != job.spec.id:
+                use = quota.Use(use.cores + reserved.cores, use.gpus + reserved.gpus)
+        return use
 
     def _release_held(self, now: float) -> None:
         """Ends the holding of room whose job is placed, over or has waited long enough."""
@@ -97,8 +140,7 @@
             wait = 4 * self.pace_s + (0 if self.line.at_home(job) else (1 + turn) * self.settings.report_s)
             if now - self.line.met.get(spec.id, now) < wait or self.health.paused(spec.id, now):
                 continue
-            if self.limits.startable([spec]):
-                yield job
+            yield job
 
     def _scarce_rooms(self) -> dict[str, placement.Room]:
         """What is free on machines of types that some live job fits and others not, by machine."""
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -699,7 +699,9 @@
     def _place(self, job: Job, tasks: int, rooms: list[placement.Room], now: float) -> bool:
         name = job.spec.id
         team = job.spec.team
-        tasks = taskset.lowest(tasks, quota.room_for(job.spec, self.limits.allowance(team), self.limits.use(team)))
+        tasks = taskset.lowest(
+            tasks, quota.room_for(job.spec, self.limits.allowance(team), self.gang_room.use_beside(job))
+        )
         if self.health.job_faulty(name):
             tasks = taskset.lowest(tasks, 1)
         usable = placement.usable(name, rooms, self.gang_room.held, self.health)
@@ -760,6 +762,7 @@
             cores_ahead=self._cores_ahead(),
             least_cores=self.least_cores,
             held=self.gang_room.held,
+            reserved=self.gang_room.reserved(),
             health=self.health,
             met=self.met,
             at_home=self.at_home,
--- a/sloeswitch/actors/team_limits.py
+++ b/sloeswitch/actors/team_limits.py
@@ -81,6 +81,14 @@
             if spec.team in spare and quota.room_for(spec, spare[spec.team], uses[spec.team]) > 0
         ]  # fmt: skip
 
+    def shortfall(self, spec: JobSpec) -> quota.Use:
+        """By how much the team's limit leaves this controller too little room for one more task."""
+        use = self.use(spec.team)
+        cores, gpus = self.spare(self.settings.teams[spec.team], use)
+        return quota.Use(
+            max(0.0, use.cores + spec.cores - cores - quota.SLACK), max(0.0, use.gpus + spec.gpus - gpus - quota.SLACK)
+        )
+
     def request_allowances(
         self, request: ClaimRequest, useful: Mapping[str, quota.Use], controllers: int, now: float
     ) -> None:
--- a/sloeswitch/core/claim_planner.py
+++ b/sloeswitch/core/claim_planner.py
@@ -43,8 +43,10 @@
     # Cores likely to fall free in the time that a claim takes, and the smallest amount that any job wants.
     cores_ahead: float
     least_cores: float
-    # Machines on which room is kept for a job, and the jobs' failures on machines.
+    # Machines on which room is kept for a job, and what of their teams' limits is kept with it: job -> team, amounts.
     held: Mapping[str, tuple[str, float]]
+    reserved: Mapping[str, tuple[str, quota.Use]]
+    # The jobs' failures on machines.
     health: Health
     # When the jobs of the line were first seen there, and which of them have their images at home here.
     met: Mapping[str, float]
@@ -123,6 +125,11 @@
                 self._consider(job)
         else:
             self.claims.rooms_left = self.rooms
+        for holder, (team, reserved) in self.picture.reserved.items():
+            if not self.taken.get(holder):
+                # Not to be returned as surplus while it is waited for.
+                use = self.claims.useful[team]
+                self.claims.useful[team] = quota.Use(use.cores + reserved.cores, use.gpus + reserved.gpus)
         return self.claims
 
     def _keep_allowances(self) -> None:
@@ -167,7 +174,11 @@
             count = min(count, 1)
         elif job.beginning and not spec.gang and first_place:
             count = min(count, math.ceil(ready.BEGINNING * spec.tasks))
-        return min(count, quota.room_for(spec, self.picture.spare[spec.team], self.claims.useful[spec.team]))
+        use = self.claims.useful[spec.team]
+        for holder, (team, reserved) in self.picture.reserved.items():
+            if team == spec.team and holder != spec.id and not self.taken.get(holder):
+                use = quota.Use(use.cores + reserved.cores, use.gpus + reserved.gpus)
+        return min(count, quota.room_for(spec, self.picture.spare[spec.team], use))
 
     def _choose_zone(self, job: Job, usable: list[placement.Room]) -> bool:
         """Chooses the zone of a job whose tasks are bound to one, if it has none yet; False when there is no room."""
--- a/sloeswitch/core/preemption.py
+++ b/sloeswitch/core/preemption.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from sloeswitch.core import ready
 from sloeswitch.core.placement import Room
+from sloeswitch.core.quota import Use
 from sloeswitch.core.ready import RANK, urgency
 from sloeswitch.core.registry import RUNNING, Attempt
 from sloeswitch.core.tables import Job
 from sloeswitch.wire import JobSpec
 
+# The part of its running tasks that a job which goes by age lends to jobs of higher priority.
+LENDABLE = 0.5
+
 
 @dataclass(frozen=True)
 class Preemption:
@@ -20,16 +26,54 @@
     attempts: list[Attempt]
 
 
-def preemptible(job: Job, attempts: Iterable[Attempt], positions: Mapping[str, int]) -> list[Attempt]:
-    """The attempts that may be stopped for a job: of lower priority, and of jobs behind it in the line, so that the
-    bounds on standing back hold for those too. `positions`: the places in the line; a job without one is last."""
-    last = len(positions)
-    position = positions[job.spec.id]
-    return [
-        attempt for attempt in attempts
-        if not attempt.spec.gang and attempt.kill_grace_s is None
-        and RANK[attempt.spec.priority] > urgency(job) and positions.get(attempt.job, last) > position
-    ]  # fmt: skip
+@dataclass(frozen=True)
+class LineOrder:
+    """Who may be stopped for whom, by the line."""
+
+    # The places of jobs in the line; a job without one is last.
+    positions: Mapping[str, int]
+    # How many running tasks may stop of jobs that stand where they do by their age alone.
+    lendable: Mapping[str, int] = field(default_factory=dict)
+
+    @staticmethod
+    def of(line: Iterable[Job], placed: Mapping[str, int]) -> LineOrder:
+        """The order of a line. `placed`: the sets of tasks, by job, that are on machines.
+
+        Of a job that goes by age a part must go on, so that the bounds on standing back hold. Guards against large
+        machines that stay full of old best-effort work: gangs that fit nowhere else waited for eight leases until they
+        went first themselves (found on the bench).
+        """
+        positions: dict[str, int] = {}
+        lendable: dict[str, int] = {}
+        for position, job in enumerate(line):
+            name = job.spec.id
+            positions.setdefault(name, position)
+            if ready.goes_by_age(job):
+                lendable[name] = int(LENDABLE * placed.get(name, 0).bit_count())
+        return LineOrder(positions, lendable)
+
+    def behind(self, job: str, other: str) -> bool:
+        """Whether the other job stands behind this one."""
+        last = len(self.positions)
+        return self.positions.get(other, last) > self.positions.get(job, last)
+
+
+def preemptible(job: Job, attempts: Iterable[Attempt], order: LineOrder) -> list[Attempt]:
+    """The attempts that may be stopped for a job, the youngest first: of lower priority, and of jobs behind it in the
+    line or, for a part of their tasks, of jobs that go by age."""
+    lent: Counter[str] = Counter()
+    found: list[Attempt] = []
+    for attempt in sorted(attempts, key=lambda attempt: -attempt.placed_at):
+        if attempt.spec.gang or attempt.kill_grace_s is not None:
+            continue
+        if RANK[attempt.spec.priority] <= urgency(job):
+            continue
+        if not order.behind(job.spec.id, attempt.job):
+            if lent[attempt.job] >= order.lendable.get(attempt.job, 0):
+                continue
+            lent[attempt.job] += 1
+        found.append(attempt)
+    return found
 
 
 def movable(attempt: Attempt, now: float) -> bool:
@@ -42,11 +86,11 @@
 
 
 def victims(spec: JobSpec, room: Room, attempts: list[Attempt]) -> list[Attempt]:
-    """Which of the attempts have to stop, the youngest first, so that one task of the job fits the machine; none
-    if it does not fit then either."""
+    """Which of the attempts have to stop, in their order, so that one task of the job fits the machine; none if it
+    does not fit then either."""
     trial = Room(**vars(room))
     chosen: list[Attempt] = []
-    for attempt in sorted(attempts, key=lambda attempt: -attempt.placed_at):
+    for attempt in attempts:
         if trial.count(spec):
             break
         trial.take(attempt.spec, -1)
@@ -54,13 +98,33 @@
     return chosen if trial.count(spec) else []
 
 
+def within_limit(spec: JobSpec, short: Use, attempts: Iterable[Attempt]) -> list[Attempt] | None:
+    """Which of the attempts have to stop so that the team's limit has so much more room: tasks of its own. None when
+    they do not suffice.
+
+    Guards against a team that is at its limit through its own work of lower priority, for which nothing was stopped.
+    """
+    chosen: list[Attempt] = []
+    freed = Use()
+    for attempt in attempts:
+        if freed.cores >= short.cores and freed.gpus >= short.gpus:
+            break
+        if attempt.spec.team == spec.team:
+            freed.add(attempt.spec)
+            chosen.append(attempt)
+    return chosen if freed.cores >= short.cores and freed.gpus >= short.gpus else None
+
+
 def choose(
-    job: Job, rooms: Iterable[tuple[Room, Iterable[Attempt]]], positions: Mapping[str, int]
+    job: Job, rooms: Iterable[tuple[Room, Iterable[Attempt]]], order: LineOrder, at_limit: bool = False
 ) -> Preemption | None:  # fmt: skip
-    """The machine on which the fewest attempts have to stop for a task of the job."""
+    """The machine on which the fewest attempts have to stop for a task of the job. `at_limit`: the team's limit keeps
+    the job from room that is there, so that a machine with room will do."""
     best: Preemption | None = None
     for room, attempts in rooms:
-        stopped = victims(job.spec, room, preemptible(job, attempts, positions))
+        if at_limit and room.count(job.spec):
+            return Preemption(room.machine, [])
+        stopped = victims(job.spec, room, preemptible(job, attempts, order))
         if stopped and (best is None or len(stopped) < len(best.attempts)):
             best = Preemption(room.machine, stopped)
     return best
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -128,6 +128,11 @@
     return 1 if age_s > 2 * PATIENCE_LEASES * lease_s else 2
 
 
+def goes_by_age(job: Job) -> bool:
+    """Whether the job stands in the line by its age alone, since it has not been done for so long."""
+    return job.rank[:1] == (1,)
+
+
 def outlook(job: Job, objectives: tuple[Objective, ...], age_s: float) -> tuple[int, float | None]:
     """How many targets of the job are missed for certain, and the age at which its last tasks must have
     started to meet the next one; None when there is no such target."""
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -6,6 +6,7 @@
 
 from sloeswitch.core import preemption
 from sloeswitch.core.placement import Room
+from sloeswitch.core.quota import Use
 from sloeswitch.core.registry import Attempt
 from tests.conftest import Store, spec
 
@@ -23,10 +24,13 @@
     return [Attempt(FILL, index, 1, job, "running", seen=True, placed_at=float(index)) for index in range(count)]
 
 
-def choose(store: Store, *machines: tuple[Room, list[Attempt]], behind: bool = True) -> preemption.Preemption | None:
+def choose(
+    store: Store, *machines: tuple[Room, list[Attempt]], behind: bool = True, lendable: int = 0
+) -> preemption.Preemption | None:
     store.job(spec(SOLVE, **GANG))
     positions = {SOLVE: 0, FILL: 1} if behind else {FILL: 0, SOLVE: 1}
-    return preemption.choose(store.tables.jobs[SOLVE], machines, positions)
+    order = preemption.LineOrder(positions, {FILL: lendable})
+    return preemption.choose(store.tables.jobs[SOLVE], machines, order)
 
 
 def test_the_machine_with_the_fewest_tasks_to_stop_is_chosen_and_the_youngest_stop(store: Store) -> None:
@@ -50,3 +54,28 @@
 
 def test_what_stands_before_it_in_the_line_is_left(store: Store) -> None:
     assert choose(store, (room("vm-1", 0.0), running(8)), behind=False) is None
+
+
+def test_of_a_job_that_goes_by_age_a_part_goes_on(store: Store) -> None:
+    """Failure found on the bench: the machines that gangs fit stayed full of old best-effort work for eight leases."""
+    full = (room("vm-1", 0.0), running(8))
+    assert choose(store, full, behind=False, lendable=5) is None
+    chosen = choose(store, full, behind=False, lendable=6)
+    assert chosen is not None and len(chosen.attempts) == 6
+
+
+def test_a_job_that_goes_by_age_lends_half_of_what_runs(store: Store) -> None:
+    store.job(spec(FILL, visits=8))
+    store.job(spec(SOLVE, **GANG))
+    old, new = store.tables.jobs[FILL], store.tables.jobs[SOLVE]
+    old.rank, new.rank = (1, False, False, 0, 0), (2, False, True, 2, 1)
+    order = preemption.LineOrder.of([old, new], {FILL: 0b11111})
+    assert order.lendable == {FILL: 2} and order.behind(FILL, SOLVE) and not order.behind(SOLVE, FILL)
+
+
+def test_at_the_limit_only_the_teams_own_tasks_make_room_in_it(store: Store) -> None:
+    job = spec(SOLVE, **GANG)
+    mixed = [*running(4, crew="blue"), *running(4)]
+    chosen = preemption.within_limit(job, Use(3.0), mixed)
+    assert chosen is not None and {attempt.spec.team for attempt in chosen} == {"red"} and len(chosen) == 3
+    assert preemption.within_limit(job, Use(5.0), mixed) is None
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -127,3 +127,34 @@
     world.machines._line_up = aged  # type: ignore[method-assign]
     assert FILL in [job.spec.id for job in world.machines.line]
     assert tick(world, 5.0) == 0
+
+
+def test_at_its_limit_through_its_own_work_a_team_has_tasks_of_it_stopped(world: World) -> None:
+    """The gang has room on an empty machine and none in the limit: nothing was stopped for it."""
+    world.store.put(t.group_key("g2"), {"m": {"vm-2": ["127.0.0.1:9000", "large", "a", False]}})
+    for serial, token in ((1, 0), (2, 3)):
+        world.heartbeat(msgspec.structs.replace(large(serial, token), machine="vm-2"))
+    world.machines.limits.spare = lambda team, use: (50.0, 0.0)  # type: ignore[method-assign]
+    world.store.job(spec(SOLVE, **GANG))
+    tick(world, 0.1)
+    assert tick(world, 2.5) == 12
+    assert world.machines.gang_room.held.keys() == {"vm-2"}
+    left = [attempt for attempt in machine(world).attempts.values() if attempt.kill_grace_s is None]
+    world.store.put(t.team_key("red"), {"c0.1": [50.0, 0.0]})
+    world.heartbeat(large(5, 3, *((attempt.name, attempt.number, "running") for attempt in left)))
+    # Small tasks of the team do not take what was freed, not even one by one.
+    world.machines._place_waiting()
+    assert world.machines.limits.use("red").cores == 20.0
+    assert all(FILL not in asked.wants for asked in world.claim_requests())
+    world.heartbeat(msgspec.structs.replace(large(3, 3), machine="vm-2"))
+    world.round(ClaimRequest(wants={SOLVE: 1}, zones={SOLVE: "a"}, picks={SOLVE: 0b1}))
+    assert world.machines.registry.placed[SOLVE] == 0b1 and world.machines.limits.use("red").cores == 50.0
+
+
+def test_without_enough_of_its_own_work_the_limit_stays_and_nothing_stops(world: World) -> None:
+    world.machines.limits.spare = lambda team, use: (29.0, 0.0)  # type: ignore[method-assign]
+    world.store.job(spec(SOLVE, **GANG))
+    for attempt in machine(world).attempts.values():
+        attempt.spec = msgspec.structs.replace(attempt.spec, team="blue")
+    tick(world, 0.1)
+    assert tick(world, 5.0) == 0 and not world.machines.gang_room.held
