Claims of a run that is gone keep no gang from room, and zones bind what the fleet keeps

The fleet, besides, counted room in any zone for tasks that their job's other tasks bind to one.

Change: both go by what is open once all is settled. Needs carry the zone to which a job is bound, so that machines there are kept and rented.

Result: tests in test_room.py and test_fleet.py, each seen to fail without its guard by name of what it asserts.

--- /dev/null
+++ b/sloeswitch/actors/cancellation_watch.py
@@ -0,0 +1,86 @@
+"""Cancelled tasks while nobody may answer machines: machines are inspected, and deleted if need be.
+
+Owns the guard over cancelled tasks (core.cancellation_guard), and when any machine was last heard.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from sloeswitch.actors.commands import CommandSender, Inspected
+from sloeswitch.actors.membership import Standing
+from sloeswitch.core.cancellation_guard import OVERDUE, CancellationGuard, overdue_job
+from sloeswitch.core.registry import MachineRegistry
+from sloeswitch.core.tables import Tables
+from sloeswitch.settings import Settings
+
+log = logging.getLogger("machines")
+
+
+class CancellationWatch:
+    """Guards against a machine that hangs with a cancelled task, and whose owner restarted while the state service is
+    down: that process knows of nothing, and the others' permission ends with its confirmations (found by the random
+    world, tests/test_world.py).
+    """
+
+    def __init__(
+        self, settings: Settings, tables: Tables, standing: Standing, registry: MachineRegistry,
+        commands: CommandSender, give_back: Callable[[str], bool],
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.tables = tables
+        self.standing = standing
+        self.registry = registry
+        self.commands = commands
+        self.give_back = give_back
+        self.guard = CancellationGuard(settings)
+        # When a machine last told anything, whether or not it could be answered.
+        self.any_heard_at = float("-inf")
+
+    def look(self, now: float, wall_time_ms: int) -> None:
+        """Has machines inspected, and deleted if need be, that may hold cancelled tasks while nobody may answer."""
+        self.guard.observe(self.tables, now)
+        if not self.standing.unattended:
+            self.guard.clear()
+            return
+        suspects = self.guard.suspects(self.tables, self.standing.tag, now, wall_time_ms)
+        suspects |= self._own_suspects(now, wall_time_ms)
+        for name in self.guard.due(suspects, now):
+            self.commands.inspect(name, self._address(name))
+        if self._hears_nobody(now):
+            return
+        for name in self.guard.deletable():
+            if self.give_back(name):
+                log.info("%s goes back: cancelled tasks may be on it, and no controller may answer it", name)
+
+    def inspected(self, message: Inspected, now: float) -> None:
+        """The answer of a machine that was asked what is on it, or none."""
+        if message.report is None:
+            self.guard.failed(message.machine, now)
+        else:
+            self.any_heard_at = now
+            self.guard.answered(message.report, self.tables, now)
+
+    def overdue(self, wall_time_ms: int) -> bool:
+        """Whether a job that was cancelled longer ago than a part of the time allowed still has claims."""
+        return any(overdue_job(job, self.settings.cancel_s, wall_time_ms) for job in self.tables.jobs.values())
+
+    def _own_suspects(self, now: float, wall_time_ms: int) -> set[str]:
+        overdue = self.overdue(wall_time_ms)
+        return {
+            machine.name for machine in self.registry.machines.values()
+            if (overdue and not machine.heard) or (
+                machine.cancelled_since is not None
+                and now - machine.cancelled_since > OVERDUE * self.settings.cancel_s
+            )
+        }  # fmt: skip
+
+    def _address(self, machine: str) -> str:
+        known = self.registry.machines.get(machine)
+        return known.address if known is not None else self.tables.machines[machine].address
+
+    def _hears_nobody(self, now: float) -> bool:
+        """Whether no machine at all was heard for two leases though there are some: our own network is the likely
+        reason, and what does not answer may be well."""
+        return len(self.tables.machines) > 3 and now - self.any_heard_at > 2 * self.settings.lease_s
--- a/sloeswitch/actors/gang_room.py
+++ b/sloeswitch/actors/gang_room.py
@@ -121,20 +121,26 @@
 
     def _release_held(self, now: float) -> None:
         """Ends the holding of room whose job is placed, over or has waited long enough."""
+        settled = self.tables.all_settled()
         for name, (holder, until) in list(self.held.items()):
             job = self.tables.jobs.get(holder)
-            if now >= until or job is None or not job.runnable or not job.unstarted:
+            if now >= until or job is None or not job.runnable or not self.tables.open_tasks(job, settled):
                 del self.held[name]
 
     def _gangs_without_room(self, now: float) -> Iterator[Job]:
         """Gangs of one task that have waited for room for a while, in the order of the line. The controller at which
-        a job's image is goes first, the others a report later each, so that they do not all make room for it."""
+        a job's image is goes first, the others a report later each, so that they do not all make room for it.
+
+        A claim of a run that is gone is none. Guards against a gang that was claimed when its controller ended: open to
+        all, it counted as claimed here, and got no room for minutes (found on the bench).
+        """
+        settled = self.tables.all_settled()
         members = [member for member, _ in self.standing.view.members]
         turn = members.index(self.settings.member)
         passed = {holder for holder, _ in self.held.values()}
         for job in self.line.line:
             spec = job.spec
-            if not (spec.gang and spec.tasks == 1 and job.unstarted) or spec.id in passed:
+            if not (spec.gang and spec.tasks == 1) or spec.id in passed or not self.tables.open_tasks(job, settled):
                 continue
             passed.add(spec.id)  # it may stand in the line twice
             wait = 4 * self.pace_s + (0 if self.line.at_home(job) else (1 + turn) * self.settings.report_s)
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -18,6 +18,7 @@
 
 from sloeswitch import wire
 from sloeswitch.actors.base import Actor, Ask, InboxFullError
+from sloeswitch.actors.cancellation_watch import CancellationWatch
 from sloeswitch.actors.commands import CommandReply, CommandSender, Inspected
 from sloeswitch.actors.gang_room import GangRoom
 from sloeswitch.actors.jobs import ClaimRequest, Jobs, Learnt, note_task
@@ -25,7 +26,7 @@
 from sloeswitch.actors.registration import Registration
 from sloeswitch.actors.team_limits import TeamLimits
 from sloeswitch.core import placement, preemption, quota, ready, taskset
-from sloeswitch.core.cancellation_guard import OVERDUE, CancellationGuard, overdue_job
+from sloeswitch.core.cancellation_guard import OVERDUE
 from sloeswitch.core.claim_planner import ClaimPlanner, PlanLimits, RoomPicture
 from sloeswitch.core.health import Health
 from sloeswitch.core.quota import fits_type
@@ -112,6 +113,7 @@
         # As of the last tick: jobs in the order in which they get room, those of them with work claimed and
         # not placed, the smallest cores any wants, and when machines are looked at again.
         self.line: list[Job] = []
+        self.all_settled = False
         # Machine types kept for jobs that fit no other.
         self.scarce: set[str] = set()
         self.idle_line: list[Job] = []
@@ -119,9 +121,9 @@
         self.watch_at = 0.0
         # Whether a task of a job that was cancelled some time ago may still be anywhere.
         self.cancellation_overdue = False
-        self.guard = CancellationGuard(settings)
-        # When a machine last told anything, whether or not it could be answered.
-        self.any_heard_at = float("-inf")
+        self.cancellations = CancellationWatch(
+            settings, self.tables, standing, self.registry, self.commands, self._press_back
+        )
         self.ticked_at = float("-inf")
         # Since when reports have been answered without a break: who is silent longer than that may be well.
         self.answering_since = float("-inf")
@@ -147,7 +149,8 @@
         elif isinstance(message, CommandReply):
             self._command_reply(message.report)
         elif isinstance(message, Inspected):
-            self._inspected(message)
+            self.cancellations.inspected(message, self.now())
+            self.wake.set()
         elif isinstance(message, Deleted):
             self._deleted(message.machines)
 
@@ -211,7 +214,7 @@
 
     def _heartbeat(self, report: wire.Report, received: bool) -> Answer:
         standing = self.standing
-        self.any_heard_at = self.now()
+        self.cancellations.any_heard_at = self.now()
         if not standing.may_answer:
             return refuse(1)
         owner = standing.owner(report.machine)
@@ -342,7 +345,7 @@
         if not standing.may_answer or now - self.ticked_at > self.settings.late_s:
             self.answering_since = now
         self.ticked_at = now
-        self._guard_cancellations(now)
+        self.cancellations.look(now, wall_ms())
         if not standing.included:
             if standing.boot != self.boot:
                 self._follow_view()
@@ -354,7 +357,7 @@
             self._take_unknown()
         if now >= self.watch_at:
             self.watch_at = now + self.settings.report_s / 4
-            self.cancellation_overdue = self._cancellation_overdue()
+            self.cancellation_overdue = self.cancellations.overdue(wall_ms())
             for machine in list(self.registry.machines.values()):
                 self._watch_over(machine, now)
             if standing.may_act:
@@ -388,10 +391,14 @@
                 self.registry.take(name, row.address, row.type, row.zone, row.spot, self.seen_view, gone_at)
 
     def _has_begun(self, job: Job) -> bool:
-        """Claimed by us and nowhere yet is not begun: it must not lose its place in the line for that."""
-        claims = job.progress.claims
-        ours = self.standing.tag in claims
-        return bool(job.progress.done or len(claims) > ours or self.registry.placed.get(job.spec.id))
+        """Claimed by us and nowhere yet is not begun: it must not lose its place in the line for that. Nor is what only
+        a run claimed that is gone, once all is settled: such a job never went first for having waited."""
+        if job.progress.done or self.registry.placed.get(job.spec.id):
+            return True
+        claims = set(job.progress.claims)
+        if self.all_settled:
+            claims &= self.standing.view.tags
+        return len(claims) > (self.standing.tag in claims)
 
     def _summary(self) -> None:
         """What an operator wants to know at a glance, once in a while."""
@@ -408,6 +415,7 @@
         )  # fmt: skip
 
     def _line_up(self) -> None:
+        self.all_settled = self.tables.all_settled()
         self.line = ready.order(self.tables, self.settings, wall_ms(), self._has_begun)
         self.scarce = placement.scarce_types((job.spec for job in self.line), self.tables.types)
         self.least_cores = min((job.spec.cores for job in self.line), default=0.0)
@@ -449,11 +457,6 @@
                 if attempt.spec.checkpoint_s > 0 and attempt.state == RUNNING:
                     self.kill(machine, attempt, attempt.spec.save_s)
 
-    def _cancellation_overdue(self) -> bool:
-        """Whether a job that was cancelled longer ago than a part of the time allowed still has claims."""
-        now_ms = wall_ms()
-        return any(overdue_job(job, self.settings.cancel_s, now_ms) for job in self.tables.jobs.values())
-
     def _may_hold_cancelled(self, machine: Machine, now: float, silent: bool) -> bool:
         """Whether a cancelled task may be on the machine that must be gone soon.
 
@@ -465,56 +468,6 @@
             return now - machine.cancelled_since > OVERDUE * self.settings.cancel_s
         return self.cancellation_overdue and not machine.heard and silent
 
-    # -- cancelled tasks while nobody may answer machines
-
-    def _guard_cancellations(self, now: float) -> None:
-        """Has machines inspected, and deleted if need be, that may hold cancelled tasks while nobody may answer them.
-
-        Guards against a machine that hangs with a cancelled task, and whose owner restarted while the state service is
-        down: that process knows of nothing, and the others' permission ends with its confirmations (found by the
-        random world, tests/test_world.py).
-        """
-        self.guard.observe(self.tables, now)
-        if not self.standing.unattended:
-            self.guard.clear()
-            return
-        suspects = self.guard.suspects(self.tables, self.standing.tag, now, wall_ms()) | self._own_suspects(now)
-        for name in self.guard.due(suspects, now):
-            self.commands.inspect(name, self._address(name))
-        if self._hears_nobody(now):
-            return
-        for name in self.guard.deletable():
-            if self.fleet is not None and self.fleet.give_back(name, pressing=True):
-                log.info("%s goes back: cancelled tasks may be on it, and no controller may answer it", name)
-
-    def _own_suspects(self, now: float) -> set[str]:
-        overdue = self._cancellation_overdue()
-        return {
-            machine.name for machine in self.registry.machines.values()
-            if (overdue and not machine.heard) or (
-                machine.cancelled_since is not None
-                and now - machine.cancelled_since > OVERDUE * self.settings.cancel_s
-            )
-        }  # fmt: skip
-
-    def _address(self, machine: str) -> str:
-        known = self.registry.machines.get(machine)
-        return known.address if known is not None else self.tables.machines[machine].address
-
-    def _hears_nobody(self, now: float) -> bool:
-        """Whether no machine at all was heard for two leases though there are some: our own network is the likely
-        reason, and what does not answer may be well."""
-        return len(self.tables.machines) > 3 and now - self.any_heard_at > 2 * self.settings.lease_s
-
-    def _inspected(self, message: Inspected) -> None:
-        now = self.now()
-        if message.report is None:
-            self.guard.failed(message.machine, now)
-        else:
-            self.any_heard_at = now
-            self.guard.answered(message.report, self.tables, now)
-        self.wake.set()
-
     def _empty_spared(self, now: float) -> None:
         """Moves the last tasks off machines that are not needed, where that loses next to nothing: all of
         them save, have run for a while, and there is room elsewhere. One long task would else keep a whole
@@ -545,6 +498,9 @@
         )
         return len(heard) > 3 and late > 0.75 * len(heard)
 
+    def _press_back(self, machine: str) -> bool:
+        return self.fleet is not None and self.fleet.give_back(machine, pressing=True)
+
     def return_machine(self, machine: Machine, why: str, pressing: bool = False) -> None:
         """Has a machine deleted, for the reason that is logged. `pressing`: also while nothing else may be done."""
         machine.draining = True
--- a/sloeswitch/core/fleet.py
+++ b/sloeswitch/core/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from sloeswitch.core.quota import Use, fits_type, room_for
@@ -25,9 +26,13 @@
     def price(self) -> float:
         return self.type.spot_price if self.kind[2] else self.type.price
 
-    def suits(self, spec: JobSpec) -> bool:
+    def suits(self, spec: JobSpec, home: str | None = None) -> bool:
+        """Whether a task of the job may run there. `home`: the zone to which its other tasks bind it."""
         _name, zone, spot = self.kind
-        return fits_type(spec, self.type) and spec.zone in (None, zone) and (spec.spot or not spot)
+        return (
+            fits_type(spec, self.type) and spec.zone in (None, zone) and home in (None, zone)
+            and (spec.spot or not spot)
+        )  # fmt: skip
 
 
 @dataclass
@@ -35,7 +40,19 @@
     """Tasks of a job that should run at once for it to be done in time."""
 
     spec: JobSpec
-    tasks: int
+    tasks: float
+    # The zone to which tasks that run, or will, bind the others. Guards against machines there that are let go for room
+    # in other zones, which the job can't use.
+    home: str | None = None
+
+    def suits(self, offer: Offer) -> bool:
+        """Whether such machines are of use."""
+        return offer.suits(self.spec, self.home)
+
+
+def home_of(job: Job) -> str | None:
+    """The zone to which a job is bound by its tasks, if it is."""
+    return job.progress.zone if job.spec.one_zone else None
 
 
 # A job's work is spread over this part of the time left to its target; the rest is for what is not known:
@@ -57,6 +74,11 @@
     return min(job.left, math.ceil(job.left * estimate / max(span, estimate)))
 
 
+def whole_or_at_once(job: Job, settings: Settings, wall_ms: int, spread: float) -> int:
+    """The same, where a gang needs all its tasks at a time."""
+    return job.spec.tasks if job.spec.gang else at_once(job, settings, wall_ms, spread)
+
+
 def soon(job: Job, tables: Tables) -> bool:
     """Whether all that the job still waits for has begun and it may not use spot machines: of the others there are
     few, and one may be up by the time that it is released. The rest finds room; looked for ahead as well, it cost
@@ -66,23 +88,37 @@
     return all(begun(tables.jobs[name]) for name in job.spec.awaits if name in tables.jobs)
 
 
-def needs(tables: Tables, settings: Settings, wall_ms: int, spread: float) -> list[Need]:
-    """What the jobs need that are released, or soon will be, within the teams' limits, oldest first."""
-    left = {name: [team.cpus_max, team.gpus_max] for name, team in settings.teams.items()}
-    found = []
-    for job in sorted(tables.jobs.values(), key=lambda job: job.born):
+def needs_of(
+    jobs: Iterable[Job], settings: Settings, wall_ms: int, spread: float, left: dict[str, list[float]],
+    count: Callable[[Job, Settings, int, float], int] = at_once,
+) -> list[Need]:  # fmt: skip
+    """What jobs need at once, within what is left of their teams' limits (cores, gpus by team), oldest first. Takes it
+    from `left`. `count`: how many tasks of a job should run at a time."""
+    found: list[Need] = []
+    for job in sorted(jobs, key=lambda job: job.born):
         limit = left.get(job.spec.team)
-        if limit is None or not (job.runnable or soon(job, tables)):
+        if limit is None:
             continue
         spec = job.spec
-        tasks = min(at_once(job, settings, wall_ms, spread), room_for(spec, (limit[0], limit[1]), Use()))
+        tasks = min(count(job, settings, wall_ms, spread), room_for(spec, (limit[0], limit[1]), Use()))
         if tasks > 0:
             limit[0] -= tasks * spec.cores
             limit[1] -= tasks * spec.gpus
-            found.append(Need(spec, tasks))
+            found.append(Need(spec, tasks, home_of(job)))
     return found
 
 
+def limits_of(settings: Settings) -> dict[str, list[float]]:
+    """The teams' whole limits, for needs_of to take from."""
+    return {name: [team.cpus_max, team.gpus_max] for name, team in settings.teams.items()}
+
+
+def needs(tables: Tables, settings: Settings, wall_ms: int, spread: float) -> list[Need]:
+    """What the jobs need that are released, or soon will be, within the teams' limits, oldest first."""
+    jobs = (job for job in tables.jobs.values() if job.runnable or soon(job, tables))
+    return needs_of(jobs, settings, wall_ms, spread, limits_of(settings))
+
+
 def machines_for(spec: JobSpec, tasks: int, kind: MachineType) -> float:
     """How many machines of the type the tasks would fill, as a fraction."""
     shares = [spec.cores / kind.cores if kind.cores else 0.0]
@@ -100,25 +136,23 @@
     return found
 
 
-def fill(
-    wanted: list[Need], supply: dict[Kind, int], found: list[Offer]
-) -> tuple[dict[Kind, float], list[tuple[JobSpec, float]]]:
+def fill(wanted: list[Need], supply: Mapping[Kind, float], found: list[Offer]) -> tuple[dict[Kind, float], list[Need]]:
     """Puts the needs on the machines at hand, the cheapest first: machines left over of each kind, and
-    tasks for which there is none."""
+    needs for which there is none."""
     left = {offer.kind: float(supply.get(offer.kind, 0)) for offer in found}
-    short = []
+    short: list[Need] = []
     for need in wanted:
         tasks = float(need.tasks)
         for offer in found:
             if tasks <= 0:
                 break
-            if left[offer.kind] > 0 and offer.suits(need.spec):
+            if left[offer.kind] > 0 and need.suits(offer):
                 part = machines_for(need.spec, 1, offer.type)
                 taken = min(tasks, left[offer.kind] / part) if part > 0 else tasks
                 left[offer.kind] -= taken * part
                 tasks -= taken
         if tasks > 1e-6:
-            short.append((need.spec, tasks))
+            short.append(Need(need.spec, tasks, need.home))
     return left, short
 
 
@@ -145,15 +179,15 @@
     # Guards against a small job for which there is no machine at all: worth none by its size, it was never
     # started (found on the bench: three tasks that may not use spot machines, when the last other was returned).
     lone = [
-        spec for spec, _tasks in short
-        if not any(supply.get(offer.kind, 0) > 0 and offer.suits(spec) for offer in found)
+        need for need in short
+        if not any(supply.get(offer.kind, 0) > 0 and need.suits(offer) for offer in found)
     ]  # fmt: skip
     best: tuple[float, int, Kind, int] | None = None
     for offer in found:
         if offer.kind in refused:
             continue
-        machines = sum(machines_for(spec, 1, offer.type) * tasks for spec, tasks in short if offer.suits(spec))
-        if machines < WORTH_RENTING and not any(offer.suits(spec) for spec in lone):
+        machines = sum(machines_for(need.spec, 1, offer.type) * need.tasks for need in short if need.suits(offer))
+        if machines < WORTH_RENTING and not any(need.suits(offer) for need in lone):
             continue
         price = offer.price / max(offer.type.cores, 1e-3)
         candidate = (price, supply.get(offer.kind, 0), offer.kind, min(most, max(1, math.floor(machines))))
--- a/tests/test_cancellation_guard.py
+++ b/tests/test_cancellation_guard.py
@@ -123,13 +123,13 @@
 
     def inspect(self, silent: set[str]) -> None:
         """One round of questions, which all machines answer but the silent ones."""
-        self.world.machines._guard_cancellations(self.world.clock.time)
+        self.world.machines.cancellations.look(self.world.clock.time, machines_module.wall_ms())
         for name in self.started:
             answer = None if name in silent else report(1, 5, name=name)
             anyio.run(self.world.machines.handle, Inspected(name, answer))
         self.started.clear()
         self.world.clock.time += self.world.settings.report_s
-        self.world.machines._guard_cancellations(self.world.clock.time)
+        self.world.machines.cancellations.look(self.world.clock.time, machines_module.wall_ms())
 
 
 def test_only_the_silent_machines_of_a_sibling_that_restarted_are_deleted(
@@ -149,10 +149,10 @@
     for view, state_ok in ((5, True), (6, False)):
         outage.sibling_tells(view, state_ok)
         outage.inspect(set())
-        assert not outage.world.machines.guard.inspections
+        assert not outage.world.machines.cancellations.guard.inspections
     outage.sibling_tells(0, False)
     outage.inspect(set())
-    assert outage.world.machines.guard.inspections
+    assert outage.world.machines.cancellations.guard.inspections
 
 
 def test_the_fleet_deletes_what_is_not_its_own_for_a_cancellation_while_nobody_may_answer(
@@ -180,6 +180,6 @@
     for _ in range(2 * MOST_FAILURES):
         outage.inspect(set(MACHINES))
     assert outage.given_back == []
-    outage.world.machines.any_heard_at = outage.world.clock.time
+    outage.world.machines.cancellations.any_heard_at = outage.world.clock.time
     outage.inspect(set(MACHINES))
     assert set(outage.given_back) == owned_by(store, "c1")
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from sloeswitch.core import fleet
-from tests.conftest import MACHINE_TYPE, spec
+from sloeswitch.core import tables as t
+from sloeswitch.settings import parse
+from tests.conftest import MACHINE_TYPE, SETTINGS, Store, spec
 
 TYPES = {MACHINE_TYPE.name: MACHINE_TYPE}
 SPOT, ORDINARY = ("small", "a", True), ("small", "a", False)
@@ -39,3 +41,16 @@
     small = [fleet.Need(spec(loaners=False, visits=1), 1)]
     assert fleet.rent(small, {SPOT: 5}, TYPES, set(), 50) == fleet.Plan(ORDINARY, 1)
     assert fleet.rent([fleet.Need(spec(), 4), *small], {ORDINARY: 1}, TYPES, set(), 50) is None
+
+
+def test_machines_in_the_zone_to_which_a_job_is_bound_are_kept_and_rented(store: Store) -> None:
+    """Its other tasks run in zone b: room in zone a, however cheap, is of no use to what is left of it."""
+    settings = parse(SETTINGS)
+    store.job(spec(together=True, visits=8, dueS=None))
+    store.put(t.progress_key("wk-000001"), {"d": [], "c": {"c0.1": [0, 4]}, "z": "b"})
+    wanted = fleet.needs(store.tables, settings, 0, 1.0)
+    assert [need.home for need in wanted] == ["b"]
+    in_b = ("small", "b", True)
+    assert fleet.surplus(wanted, {SPOT: 3, in_b: 1}, TYPES) == {SPOT: 2}
+    plan = fleet.rent(wanted, {SPOT: 3}, TYPES, set(), 50)
+    assert plan is not None and plan.kind == in_b
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -56,7 +56,7 @@
     heard, vm.heard = vm.heard, False
     world.machines._stop_cancelled()
     vm.heard = heard
-    world.machines.cancellation_overdue = world.machines._cancellation_overdue()
+    world.machines.cancellation_overdue = world.machines.cancellations.overdue(machines.wall_ms())
     world.machines.commands.probe_at["vm-1"] = world.clock.time + 1000.0
     world.machines._watch_over(vm, world.clock.time)
 
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -158,3 +158,19 @@
         attempt.spec = msgspec.structs.replace(attempt.spec, team="blue")
     tick(world, 0.1)
     assert tick(world, 5.0) == 0 and not world.machines.gang_room.held
+
+
+def test_room_is_made_for_a_gang_that_only_a_run_that_is_gone_has_claimed(world: World) -> None:
+    """Failure found on the bench: its controller had ended, and no other made room for it, nor let it go first."""
+    world.store.job(spec(SOLVE, **GANG))
+    world.store.progress(SOLVE, c9_9=1)
+    assert tick(world, 0.1) == 0
+    assert not world.machines._has_begun(world.store.tables.jobs[SOLVE])
+    assert tick(world, 2.5) == 30
+
+
+def test_a_gang_that_a_present_controller_has_claimed_gets_no_room_here(world: World) -> None:
+    world.store.job(spec(SOLVE, **GANG))
+    world.store.progress(SOLVE, c0_1=1)
+    tick(world, 0.1)
+    assert tick(world, 5.0) == 0
