Agreed admission under overload: cuts, epochs, gate and coordinator, off unless turned on

When more is submitted than can run, all controllers are to defer the same jobs.

Change: package sloeswitch/admission, by docs/admission.md: lanes with stored cuts in the order of submission, which only rise; the next cuts as a pure function of the rows and of idle room that owners tell; a gate before the line; the decisions logged as JSON and compared by 'run.py admission compare'. The features file has [admission]. The mark of a feature (actors/feature_mark.py) and the connection for frames (frame_link.py) are one piece of code with cells now.

Without the features file no row, no message.

--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -61,6 +61,13 @@
         while this controller may only answer machines, or nobody may."""
 
 
+class Gate(Protocol):
+    """Marks jobs that may not enter the line yet."""
+
+    def apply(self) -> None:
+        """Brings `Job.deferred` up to date with the tables."""
+
+
 @dataclass
 class Tick(Ask):
     """Look after what no report brings up."""
@@ -93,6 +100,9 @@
         self.now = now
         self.group: TaskGroup | None = None
         self.fleet: MachineReturner | None = None
+        # Where admission is on: what marks deferred jobs, and what is told of the room that is left over.
+        self.gate: Gate | None = None
+        self.on_rooms_left: Callable[[list[placement.Room], float], None] | None = None
         self.registry = MachineRegistry()
         self.health = Health(settings.report_s, 20 * settings.lease_s)
         self.boot = 0
@@ -416,6 +426,8 @@
 
     def _line_up(self) -> None:
         self.all_settled = self.tables.all_settled()
+        if self.gate is not None:
+            self.gate.apply()
         self.line = ready.order(self.tables, self.settings, wall_ms(), self._has_begun)
         self.scarce = placement.scarce_types((job.spec for job in self.line), self.tables.types)
         self.least_cores = min((job.spec.cores for job in self.line), default=0.0)
@@ -596,6 +608,13 @@
         rooms = (self._room(machine, now) for machine in self.registry.machines.values())
         return [room for room in rooms if room is not None]
 
+    def waiting_jobs(self) -> list[Job]:
+        """The line, and behind it the jobs that admission defers, oldest first: those may go to another cell too."""
+        if self.gate is None:
+            return self.line
+        deferred = [job for job in self.tables.jobs.values() if job.deferred and job.runnable]
+        return self.line + sorted(deferred, key=lambda job: job.born)
+
     def _place_waiting(self) -> None:
         """Puts claimed work on machines; work that came back stands before anything newly claimed."""
         rooms: list[placement.Room] | None = None
@@ -697,6 +716,8 @@
         limits = PlanLimits.of(self.settings, self.client.txn_ops, self.pace_s)
         planner = ClaimPlanner(self.picture(now), limits, self.tables)
         claims = planner.plan(self.line, len(members), members.index(self.settings.member))
+        if self.on_rooms_left is not None and claims.rooms_left is not None:
+            self.on_rooms_left(claims.rooms_left, now)
         request = ClaimRequest(wants=claims.wants, zones=claims.zones, picks=claims.picks)
         self.limits.request_allowances(request, claims.useful, len(members), now)
         if request.wants or request.grow or request.shrink:
--- /dev/null
+++ b/sloeswitch/admission/backlog.py
@@ -0,0 +1,141 @@
+"""Deferred jobs by lane, and what admitting one of them takes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+from sloeswitch.admission.capacity import Capacity
+from sloeswitch.admission.cuts import AdmissionRow, Lane, LaneCut, row_of
+from sloeswitch.admission.decisions import Decision, ancestors, lane_of, ticket_of
+from sloeswitch.core import fleet
+from sloeswitch.core.quota import Use
+from sloeswitch.core.ready import RANK
+from sloeswitch.core.tables import LIVE, Job, Tables
+from sloeswitch.settings import Settings
+
+
+@dataclass(frozen=True)
+class Bundle:
+    """The jobs that are admitted together: one, and those of the jobs that it needs that are deferred. Only what is
+    released takes room; what waits for others costs nothing."""
+
+    head: Job
+    released: tuple[Job, ...]
+
+    @property
+    def cost(self) -> float:
+        """What it costs the round robin: the cores of all remaining tasks."""
+        return sum(job.left * job.spec.cores for job in self.released)
+
+    def use_of(self, team: str) -> Use:
+        """What it uses of a team's guarantee."""
+        use = Use()
+        for job in self.released:
+            if job.spec.team == team:
+                use.add(job.spec, job.left)
+        return use
+
+    def fits(self, capacity: Capacity) -> bool:
+        """Whether each of its released jobs could put some of what is left to use: a gang only with all its tasks."""
+        return all(
+            capacity.tasks_that_fit(job.spec, job.spec.tasks if job.spec.gang else 1) >= (
+                job.spec.tasks if job.spec.gang else 1
+            )
+            for job in self.released
+        )  # fmt: skip
+
+    def take(self, capacity: Capacity, settings: Settings, wall_ms: int) -> None:
+        """Takes what should run at once."""
+        for job in self.released:
+            capacity.take(job.spec, fleet.whole_or_at_once(job, settings, wall_ms, 1.0))
+
+
+@dataclass
+class LaneQueue:
+    """A lane's deferred jobs in the order of their tickets, and its cut as it rises in this epoch."""
+
+    lane: Lane
+    cut: LaneCut
+    waiting: list[Job] = field(default_factory=list)
+    risen: bool = False
+    # Jobs before this place found no room in this epoch.
+    looked: int = 0
+
+    @property
+    def head(self) -> Job | None:
+        """The job with the earliest ticket."""
+        return self.waiting[0] if self.waiting else None
+
+    def since_ms(self) -> int:
+        """Since when the head waits as a head."""
+        return max(self.waiting[0].submitted_ms, self.cut.risen_ms)
+
+    def raise_to(self, place: int, wall_ms: int) -> None:
+        """Admits all up to this place in the queue."""
+        self.cut = LaneCut(ticket_of(self.waiting[place]), wall_ms)
+        del self.waiting[: place + 1]
+        self.looked, self.risen = 0, True
+
+
+class Backlog:
+    """All deferred jobs."""
+
+    def __init__(self, tables: Tables, decisions: Mapping[str, Decision]) -> None:
+        self.tables = tables
+        self.decisions = decisions
+        self.lanes: dict[Lane, LaneQueue] = {}
+        rows: Mapping[str, AdmissionRow] = tables.admission
+        for name, decision in decisions.items():
+            job = tables.jobs[name]
+            if decision.admitted or not _may_enter(job):
+                continue
+            lane = lane_of(job.spec)
+            queue = self.lanes.get(lane)
+            if queue is None:
+                path = row_of(rows, lane)
+                if path is None:
+                    continue
+                queue = self.lanes[lane] = LaneQueue(lane, rows[path].of(lane))
+            queue.waiting.append(job)
+        for queue in self.lanes.values():
+            queue.waiting.sort(key=ticket_of)
+
+    def __bool__(self) -> bool:
+        return any(queue.waiting for queue in self.lanes.values())
+
+    @property
+    def teams(self) -> list[str]:
+        """Teams with deferred jobs."""
+        return sorted({lane.team for lane, queue in self.lanes.items() if queue.waiting})
+
+    def of_team(self, team: str) -> list[LaneQueue]:
+        """A team's lanes with deferred jobs: by priority, then by the ticket of the head."""
+        found = [queue for lane, queue in self.lanes.items() if lane.team == team and queue.waiting]
+        return sorted(found, key=lambda queue: (RANK[queue.lane.priority], ticket_of(queue.waiting[0]), queue.lane))
+
+    def bundle(self, job: Job) -> Bundle:
+        """The job with all deferred ones that it needs."""
+        needed = (each for each in ancestors(job, self.tables) if not self.decisions[each.spec.id].admitted)
+        released = [each for each in (job, *(needed if job.waits else ())) if each.runnable]
+        return Bundle(job, tuple(released))
+
+    def risen(self) -> Iterator[LaneQueue]:
+        """Lanes whose cuts rose in this epoch."""
+        return (queue for queue in self.lanes.values() if queue.risen)
+
+
+def _may_enter(job: Job) -> bool:
+    """Whether there is anything to be admitted: not cancelled, and not with another cell."""
+    return job.status == LIVE and not job.cancelled and bool(job.runnable or job.waits)
+
+
+def admitted_use(jobs: Iterable[Job], decisions: Mapping[str, Decision]) -> dict[str, Use]:
+    """What each team's admitted jobs use of its guarantee: all that is left of those that are released. What another
+    cell handed over takes nothing of a guarantee."""
+    uses: dict[str, Use] = {}
+    for job in jobs:
+        decision = decisions.get(job.spec.id)
+        if decision is not None and decision.admitted and job.runnable and job.delegated is None:
+            uses.setdefault(job.spec.team, Use()).add(job.spec, job.left)
+    return uses
--- /dev/null
+++ b/sloeswitch/admission/capacity.py
@@ -0,0 +1,98 @@
+"""Room by kind of machine: what admitted work leaves of it, and what of that a job may take."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from sloeswitch.core import fleet
+from sloeswitch.core.fleet import Kind, Offer
+from sloeswitch.core.quota import Use, room_for
+from sloeswitch.core.tables import Job, Tables
+from sloeswitch.settings import Settings
+from sloeswitch.wire import JobSpec
+
+# Less than this of a machine is nothing.
+LEAST_MACHINES = 1e-6
+
+
+@dataclass(frozen=True)
+class IdleRoom:
+    """Room of one kind that no admitted job could take, as its owner told, in machines, and for how many seconds."""
+
+    kind: Kind
+    machines: float
+    age_s: float
+
+
+# Needs are spread over the whole time to the next target: what is in time is no overload.
+SPREAD_ADMITTED = 1.0
+
+
+class Capacity:
+    """Room on paper: by kind of machine, and by team."""
+
+    def __init__(
+        self, tables: Tables, settings: Settings, admitted: Iterable[Job], idle: Iterable[IdleRoom], wall_ms: int,
+        surplus: float,
+    ) -> None:  # fmt: skip
+        self.offers: list[Offer] = fleet.offers(tables.types)
+        self.limits = fleet.limits_of(settings)
+        supply: dict[Kind, float] = {}
+        for row in tables.machines.values():
+            kind = (row.type, row.zone, row.spot)
+            supply[kind] = supply.get(kind, 0.0) + 1.0
+        self.cores = sum(
+            tables.types[kind[0]].cores * count for kind, count in supply.items() if kind[0] in tables.types
+        )
+        released = (job for job in admitted if job.runnable)
+        needs = fleet.needs_of(released, settings, wall_ms, SPREAD_ADMITTED, self.limits, fleet.whole_or_at_once)
+        self.left, short = fleet.fill(needs, _with_surplus(supply, surplus), self.offers)
+        # Whether what should run at once finds no machine.
+        self.overloaded = bool(short)
+        told: dict[Kind, float] = {}
+        for room in idle:
+            told[room.kind] = told.get(room.kind, 0.0) + room.machines
+        for kind, machines in told.items():
+            if kind in self.left:
+                self.left[kind] = max(self.left[kind], machines)
+
+    @property
+    def any_left(self) -> bool:
+        """Whether anything is left to be taken."""
+        return any(machines > LEAST_MACHINES for machines in self.left.values())
+
+    def tasks_that_fit(self, spec: JobSpec, most: int) -> int:
+        """How many of so many tasks find room now, by machines and by the team's limit."""
+        limit = self.limits.get(spec.team, [0.0, 0.0])
+        most = min(most, room_for(spec, (limit[0], limit[1]), Use()))
+        found = 0.0
+        for offer in self.offers:
+            if found >= most:
+                break
+            if self.left[offer.kind] > LEAST_MACHINES and offer.suits(spec):
+                found += self._tasks_in(spec, offer)
+        return min(most, int(found + LEAST_MACHINES))
+
+    def _tasks_in(self, spec: JobSpec, offer: Offer) -> float:
+        part = fleet.machines_for(spec, 1, offer.type)
+        # Less room than one task takes is none.
+        return self.left[offer.kind] // part if part > LEAST_MACHINES else float(spec.tasks)
+
+    def take(self, spec: JobSpec, tasks: int) -> None:
+        """Takes room for so many tasks, as far as there is."""
+        limit = self.limits.get(spec.team, [0.0, 0.0])
+        limit[0] -= tasks * spec.cores
+        limit[1] -= tasks * spec.gpus
+        for offer in self.offers:
+            if tasks <= 0:
+                return
+            if self.left[offer.kind] > LEAST_MACHINES and offer.suits(spec):
+                part = fleet.machines_for(spec, 1, offer.type)
+                count = min(tasks, int(self._tasks_in(spec, offer) + LEAST_MACHINES))
+                self.left[offer.kind] -= count * part
+                tasks -= count
+
+
+def _with_surplus(supply: Mapping[Kind, float], surplus: float) -> dict[Kind, float]:
+    return {kind: (1 + surplus) * count for kind, count in supply.items()}
--- /dev/null
+++ b/sloeswitch/admission/coordinator.py
@@ -0,0 +1,139 @@
+"""The coordinator's part: asks owners for idle room, reckons the next cuts, and stores them."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, replace
+
+import anyio
+
+from sloeswitch.actors.feature_mark import FeatureMark
+from sloeswitch.actors.membership import Standing
+from sloeswitch.admission.capacity import IdleRoom
+from sloeswitch.admission.epoch import chosen_changes, next_rows
+from sloeswitch.admission.frames import IdleRoomLink
+from sloeswitch.admission.limits import AdmissionLimits
+from sloeswitch.core import tables as t
+from sloeswitch.features import AdmissionFeatures
+from sloeswitch.frame_link import NoAnswerError
+from sloeswitch.settings import Settings
+from sloeswitch.state import Outcome, Replica, StaleError, StateClient, Urgency
+
+log = logging.getLogger("admission")
+
+# What a sibling told counts for so many epochs.
+TOLD_EPOCHS = 3.0
+
+
+@dataclass(frozen=True)
+class ToldRoom:
+    """A sibling's idle room, and when it was asked for."""
+
+    asked_at: float
+    rooms: list[IdleRoom]
+
+
+def wall_ms() -> int:
+    """The time of day, by which tickets are stamped; right within the settings' clock error."""
+    return int(time.time() * 1000)
+
+
+class AdmissionCoordinator:
+    """Owns what siblings told, and when each row was last written. All else is in the tables, so that whoever
+    coordinates next goes on from there."""
+
+    def __init__(
+        self, settings: Settings, features: AdmissionFeatures, client: StateClient, replica: Replica,
+        standing: Standing, own_idle_room: Callable[[], list[IdleRoom]], links: Mapping[str, IdleRoomLink],
+        now: Callable[[], float], sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
+    ) -> None:  # fmt: skip
+        self.settings = settings
+        self.features = features
+        self.client = client
+        self.replica = replica
+        self.standing = standing
+        self.own_idle_room = own_idle_room
+        self.links = links
+        self.now = now
+        self.sleep = sleep
+        self.limits = AdmissionLimits.of(settings)
+        self.feature = FeatureMark("admission", settings, client, replica, standing)
+        self.told: dict[str, ToldRoom] = {}
+        self.written_at: dict[str, float] = {}
+
+    @property
+    def switched_on(self) -> bool:
+        """Whether jobs are deferred here: turned on, and every configured controller has run with the feature."""
+        return self.features.deferring and self.feature.complete
+
+    # -- loops
+
+    async def coordinate_forever(self) -> None:
+        """Marks that this controller runs with the feature, and reckons an epoch while it coordinates."""
+        while True:
+            await self.sleep(self.limits.epoch_s)
+            try:
+                await self.feature.mark()
+                await self.epoch()
+            except StaleError:
+                pass
+            except Exception:
+                log.exception("while reckoning an epoch")
+
+    async def ask_forever(self, member: str) -> None:
+        """Asks one sibling for its idle room while this controller coordinates."""
+        while True:
+            await self.sleep(self.limits.epoch_s)
+            try:
+                await self.ask(member)
+            except NoAnswerError as error:
+                log.debug("%s", error)
+            except Exception:
+                log.exception("while asking %s", member)
+
+    async def ask(self, member: str) -> None:
+        """One question to a sibling. Sent only once every controller knows the frame."""
+        if not (self.switched_on and self.standing.coordinating):
+            self.told.pop(member, None)
+            return
+        asked_at = self.now()
+        self.told[member] = ToldRoom(asked_at, await self.links[member].idle_room())
+
+    # -- epochs
+
+    async def epoch(self) -> None:
+        """Reckons the cuts from the tables as they are, and stores what rises, on condition of what was read."""
+        if not (self.switched_on and self.standing.coordinating):
+            return
+        # Guards against tables that lag: cuts reckoned from them would fail or be low.
+        await self.replica.fresh(self.client.timeout_s)
+        tables = self.replica.tables
+        changes = next_rows(
+            tables, self.settings, self.limits, self._idle_rooms(), wall_ms(), self.client.value_bytes
+        )  # fmt: skip
+        chosen = chosen_changes(changes, self.written_at, self.limits.max_changes, self.client.txn_ops)
+        if not chosen:
+            return
+        writes = {t.admission_key(path): row.stored() for change in chosen for path, row in change.rows.items()}
+        # On the rows' own stamps rests that no cut falls (docs/admission.md); the coordinator's key only spares a
+        # deposed one its changes.
+        conditions = {key: tables.stamp(key) for key in (t.COORD, *writes)}
+        outcome, epoch = await self.client.commit(conditions, writes, [], Urgency.CLAIM)
+        now = self.now()
+        self.written_at |= {change.path: now for change in chosen}
+        if outcome is Outcome.DONE:
+            self.replica.stored(epoch, writes)
+        else:
+            self.replica.hint()
+
+    def _idle_rooms(self) -> list[IdleRoom]:
+        """All idle room that was told lately, each as old as it is by now."""
+        now = self.now()
+        found = list(self.own_idle_room())
+        for told in self.told.values():
+            age_s = now - told.asked_at
+            if age_s <= TOLD_EPOCHS * self.limits.epoch_s:
+                found += [replace(room, age_s=room.age_s + age_s) for room in told.rooms]
+        return found
--- a/sloeswitch/cells/origin.py
+++ b/sloeswitch/cells/origin.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from sloeswitch import wire
+from sloeswitch.actors.feature_mark import FeatureMark
 from sloeswitch.actors.jobs import stored_end, stored_job
 from sloeswitch.actors.membership import Standing
 from sloeswitch.cells import handoff as rules
@@ -28,6 +29,7 @@
 from sloeswitch.core import tables as t
 from sloeswitch.core.tables import Job, Over, Tables
 from sloeswitch.features import CellFeatures
+from sloeswitch.frame_link import NoAnswerError
 from sloeswitch.settings import Settings
 from sloeswitch.state import Outcome, Replica, StaleError, StateClient, Urgency
 
@@ -51,10 +53,6 @@
         """Asks for the cell's summary."""
 
 
-class NoAnswerError(Exception):
-    """Another cell did not answer; what was asked for may or may not have happened."""
-
-
 @dataclass
 class Contact:
     """When a handoff was first looked after here, and when its target last answered."""
@@ -82,6 +80,7 @@
         self.links = links
         self.now = now
         self.sleep = sleep
+        self.feature = FeatureMark("cells", settings, client, replica, standing)
         self.book = SummaryBook(SUMMARY_LEASES * settings.controller_lease_s)
         self.contacts: dict[tuple[str, Placement], Contact] = {}
         self.incarnations: dict[str, int] = {}
@@ -113,26 +112,12 @@
 
     async def mark(self) -> None:
         """Notes that this controller runs with the feature; complete once every configured one does."""
-        tables = self.tables
-        known = tables.features.get("cells", t.Feature())
-        if known.complete or not (self.standing.may_act and tables.upgraded):
-            return
-        seen = {*known.seen, self.settings.member}
-        complete = seen >= set(self.settings.members)
-        if seen == set(known.seen) and not complete:
-            return
-        key = t.feature_key("cells")
-        value = {"seen": sorted(seen), "complete": complete}
-        conditions = {key: tables.stamp(key), **self.standing.claim_conditions()}
-        outcome, _ = await self.client.commit(conditions, {key: value}, [], Urgency.CLAIM)
-        self.replica.hint()
-        if outcome is Outcome.DONE:
-            log.info("cells: run by %s%s", ", ".join(sorted(seen)), "; it is on" if complete else "")
+        await self.feature.mark()
 
     @property
     def switched_on(self) -> bool:
         """Whether every configured controller of this cell runs with the feature."""
-        return self.tables.features.get("cells", t.Feature()).complete
+        return self.feature.complete
 
     # -- choosing
 
--- a/sloeswitch/controller.py
+++ b/sloeswitch/controller.py
@@ -18,9 +18,9 @@
 from sloeswitch.cloud import CloudClient
 from sloeswitch.core.cancellations import Cancellations
 from sloeswitch.core.tables import Tables
-from sloeswitch.features import CellFeatures, Features
+from sloeswitch.features import AdmissionFeatures, CellFeatures, Features
 from sloeswitch.http import Server, listener_socket
-from sloeswitch.mesh import Mesh
+from sloeswitch.mesh import TYPE_CELL_REQUEST, TYPE_IDLE_ROOM_REQUEST, TYPE_SUMMARY_REQUEST, Mesh
 from sloeswitch.settings import Settings
 from sloeswitch.state import Replica, StateClient
 
@@ -74,6 +74,8 @@
             group.start_soon(loop)
         if features.cells is not None:
             start_cells(group, settings, features.cells, machines, mesh)
+        if features.admission is not None:
+            start_admission(group, settings, features.admission, machines, mesh)
         group.start_soon(listener.serve, server.serve)
         group.start_soon(mesh_listener.serve, mesh.serve)
 
@@ -89,16 +91,51 @@
 
     client, replica, standing = machines.client, machines.replica, machines.standing
     target = CellTarget(settings, features, client, replica, standing, machines.jobs)
-    mesh.cells = partial(answer_frame, target)
+    for kind in (TYPE_CELL_REQUEST, TYPE_SUMMARY_REQUEST):
+        mesh.handlers[kind] = partial(answer_frame, target)
     links: dict[str, Link] = {
         peer.name: MeshLink(features.name, peer, settings.controller_lease_s) for peer in features.peers
     }
-    origin = CellOrigin(settings, features, client, replica, standing, lambda: machines.line, links, now)
+    origin = CellOrigin(settings, features, client, replica, standing, machines.waiting_jobs, links, now)
     group.start_soon(origin.select_forever)
     for peer in features.peers:
         group.start_soon(origin.talk_forever, peer.name)
 
 
+def start_admission(
+    group: TaskGroup, settings: Settings, features: AdmissionFeatures, machines: Machines, mesh: Mesh
+) -> None:  # fmt: skip
+    """Starts what defers jobs under overload."""
+    from sloeswitch.admission.coordinator import AdmissionCoordinator
+    from sloeswitch.admission.decision_log import DecisionLog
+    from sloeswitch.admission.frames import MeshIdleRoomLink, pack_idle_room
+    from sloeswitch.admission.gate import AdmissionGate
+    from sloeswitch.admission.idle_room import IdleRoomTracker
+    from sloeswitch.frame_link import FrameLink
+
+    idle = IdleRoomTracker()
+
+    async def answer(_kind: int, _body: bytes) -> bytes | None:
+        return pack_idle_room(idle.report(now()))
+
+    coordinator = AdmissionCoordinator(
+        settings, features, machines.client, machines.replica, machines.standing, lambda: idle.report(now()),
+        {
+            sibling.member: MeshIdleRoomLink(
+                FrameLink(sibling.member, (sibling.address,), settings.controller_lease_s)
+            )
+            for sibling in settings.siblings
+        },
+        now,
+    )  # fmt: skip
+    machines.gate = AdmissionGate(machines.tables, DecisionLog(), lambda: coordinator.switched_on)
+    machines.on_rooms_left = lambda rooms, at: idle.observe(rooms, machines.tables.types, at)
+    mesh.handlers[TYPE_IDLE_ROOM_REQUEST] = answer
+    group.start_soon(coordinator.coordinate_forever)
+    for sibling in settings.siblings:
+        group.start_soon(coordinator.ask_forever, sibling.member)
+
+
 def run(settings: Settings, features: Features) -> None:
     # The event loop takes a third of what a report costs; uvloop's takes half of that.
     anyio.run(serve, settings, features, backend_options={"use_uvloop": True})
--- a/sloeswitch/core/ready.py
+++ b/sloeswitch/core/ready.py
@@ -175,6 +175,8 @@
             cores, gpus = wanted.get((spec.team, like), (0.0, 0.0))
             cores, gpus = cores + spec.tasks * spec.cores, gpus + spec.tasks * spec.gpus
             wanted[spec.team, like] = (cores, gpus)
+        if job.deferred:
+            continue  # counted above: what its team is promised is reckoned with all of its work
         age_s = (wall_ms - job.submitted_ms) / 1000
         back = standing_back(has_begun(job), (wall_ms - job.ready_ms) / 1000, settings.lease_s)
         if job.delegated is not None:
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -20,6 +20,7 @@
     h/MACHINE  {"a", "t", "z", "s"}  the same, one by one: layout 1, written while a controller that
                                      knows no groups is about
     feature/F  {"seen", "complete"}  the same for a feature that is turned on (see features)
+    admission/rPATH  {"n", "c", ...} cuts of admission (see admission.cuts), of the lanes whose hash begins with PATH
     f/CELL     {"n"}                 the floor of another cell's handoffs (see cells.delegation)
     layout     {"seen": [MEMBER...], "complete"}   who has run with this layout; complete once all have
 """
@@ -34,6 +35,7 @@
 
 import msgspec
 
+from sloeswitch.admission.cuts import AdmissionRow
 from sloeswitch.cells.handoff import OriginRow, Placement
 from sloeswitch.cells.policy import MovePolicy
 from sloeswitch.core import taskset
@@ -78,6 +80,10 @@
     return f"{PREFIX}feature/{feature}"
 
 
+def admission_key(path: str) -> str:
+    return f"{PREFIX}admission/r{path}"
+
+
 def floor_key(cell: str) -> str:
     return f"{PREFIX}f/{cell}"
 
@@ -287,6 +293,8 @@
     handoff: OriginRow | None = None
     returned_ms: int = 0
     delegated: Delegated | None = None
+    # Whether admission keeps it out of the line for now (see admission.gate).
+    deferred: bool = False
     # Whether it goes first just now since nothing of it has begun for long; only a part of it does.
     beginning: bool = False
     # Whether it fitted its team's guarantee, with the team's earlier jobs, when it was first lined up.
@@ -375,6 +383,8 @@
         self.seen: tuple[str, ...] = ()
         self.upgraded = False
         self.features: dict[str, Feature] = {}
+        # Cuts of admission by the path of their row; replaced as a whole, so that a reader can tell a change.
+        self.admission: dict[str, AdmissionRow] = {}
         # For each other cell: its handoffs up to this number that are not on record are refused for ever.
         self.floors: dict[str, int] = {}
         self.machines: dict[str, MachineRow] = {}
@@ -445,6 +455,8 @@
             self.coordinator = None if value is None else (value["member"], value["boot"])
         elif kind == "f":
             self.floors[rest] = 0 if value is None else value["n"]
+        elif kind == "admission":
+            self._apply_admission(rest.removeprefix("r"), value)
         elif kind == "feature" and value is not None:
             self.features[rest] = Feature(tuple(value["seen"]), bool(value["complete"]))
         elif kind == "layout" and value is not None:
@@ -461,6 +473,14 @@
                 self._single_types[rest] = msgspec.convert(value, MachineType)
             self.types = self._catalog | self._single_types
 
+    def _apply_admission(self, path: str, value: Any) -> None:
+        rows = dict(self.admission)
+        if value is None:
+            rows.pop(path, None)
+        else:
+            rows[path] = AdmissionRow.from_stored(value)
+        self.admission = rows
+
     def _apply_group(self, group: str, rows: dict[str, list[Any]]) -> None:
         gone = self.groups.pop(group, set()) - rows.keys()
         if rows:
--- a/sloeswitch/features.py
+++ b/sloeswitch/features.py
@@ -15,6 +15,7 @@
 from sloeswitch.settings import Address, Reader, Settings, SettingsError
 
 CELL_FIELDS = {"name", "incarnation", "moving", "most_under_way", "classes", "peers"}
+ADMISSION_FIELDS = {"deferring"}
 PEER_FIELDS = {"name", "addresses"}
 
 
@@ -45,11 +46,20 @@
         return self.policies.get(klass, MovePolicy.NEVER)
 
 
+@dataclass(frozen=True)
+class AdmissionFeatures:
+    """Agreed admission under overload (docs/admission.md)."""
+
+    # Whether jobs are deferred; if not, everything is admitted, and the stored cuts stay as they are.
+    deferring: bool
+
+
 @dataclass(frozen=True)
 class Features:
     """Everything that the file turns on; None: off."""
 
     cells: CellFeatures | None = None
+    admission: AdmissionFeatures | None = None
 
 
 def parse(text: str, settings: Settings) -> Features:
@@ -59,11 +69,12 @@
     except tomllib.TOMLDecodeError as error:
         raise SettingsError([f"not TOML: {error}"]) from None
     read = Reader()
-    _only(read, top, {"cells"}, "")
+    _only(read, top, {"cells", "admission"}, "")
     cells = _cells(read, read.table(top, "cells", ""), settings) if "cells" in top else None
+    admission = _admission(read, read.table(top, "admission", "")) if "admission" in top else None
     if read.faults:
         raise SettingsError(read.faults)
-    return Features(cells)
+    return Features(cells, admission)
 
 
 def load(path: str, settings: Settings) -> Features:
@@ -81,18 +92,29 @@
     read.faults += [f"{where}{key}: unknown field" for key in table if key not in known]
 
 
+def _switch(read: Reader, table: dict[str, Any], key: str, where: str) -> bool:
+    """A field that is true if left out."""
+    value = table.get(key, True)
+    if not isinstance(value, bool):
+        read.faults.append(f"{where}{key}: must be true or false, is {value!r}")
+    return value is True
+
+
+def _admission(read: Reader, table: dict[str, Any]) -> AdmissionFeatures:
+    where = "admission."
+    _only(read, table, ADMISSION_FIELDS, where)
+    return AdmissionFeatures(deferring=_switch(read, table, "deferring", where))
+
+
 def _cells(read: Reader, table: dict[str, Any], settings: Settings) -> CellFeatures:
     where = "cells."
     _only(read, table, CELL_FIELDS, where)
     name = read.text(table, "name", where)
     peers = tuple(_peers(read, table, name))
-    moving = table.get("moving", True)
-    if not isinstance(moving, bool):
-        read.faults.append(f"{where}moving: must be true or false, is {moving!r}")
     return CellFeatures(
         name=name,
         incarnation=read.whole(table, "incarnation", where),
-        moving=moving is True,
+        moving=_switch(read, table, "moving", where),
         most_under_way=read.whole(table, "most_under_way", where),
         peers=peers,
         policies=_policies(read, table, {objective.klass for objective in settings.objectives}),
--- a/sloeswitch/mesh.py
+++ b/sloeswitch/mesh.py
@@ -36,7 +36,14 @@
 TYPE_ASK, TYPE_TELL, TYPE_INQUIRE, TYPE_INFORM = 1, 2, 3, 4
 # Between cells (see cells.frames): requests, and the types of their answers.
 TYPE_CELL_REQUEST, TYPE_CELL_ANSWER, TYPE_SUMMARY_REQUEST, TYPE_SUMMARY = 5, 6, 7, 8
-CELL_ANSWERS = {TYPE_CELL_REQUEST: TYPE_CELL_ANSWER, TYPE_SUMMARY_REQUEST: TYPE_SUMMARY}
+# Room that no admitted job could take (see admission.frames).
+TYPE_IDLE_ROOM_REQUEST, TYPE_IDLE_ROOM = 9, 10
+# Frames of features, which are served only where the feature is on, and the types of their answers.
+ANSWER_TYPES = {
+    TYPE_CELL_REQUEST: TYPE_CELL_ANSWER,
+    TYPE_SUMMARY_REQUEST: TYPE_SUMMARY,
+    TYPE_IDLE_ROOM_REQUEST: TYPE_IDLE_ROOM,
+}
 MAX_BODY = 0xFFFF
 STATE_OK, WHOLE, MORE = 1, 2, 4
 # Later than any view: an earlier version takes it for a reason to stop.
@@ -45,6 +52,10 @@
 MOST_ENTRIES = (MAX_BODY - INFORM.size) // (ENTRY.size + 255)
 
 
+# Answers a frame by its type and body; None or FrameError: the connection is closed.
+FrameHandler = Callable[[int, bytes], Awaitable[bytes | None]]
+
+
 class FrameError(Exception):
     pass
 
@@ -167,8 +178,8 @@
         self.cancellations = cancellations
         self.learn = learn
         self.peers = {sibling.member: Peer() for sibling in siblings}
-        # Answers frames of other cells by type and body; None while that is turned off.
-        self.cells: Callable[[int, bytes], Awaitable[bytes | None]] | None = None
+        # Features that are on, by the types of frames that they answer.
+        self.handlers: dict[int, FrameHandler] = {}
 
     async def serve(self, stream: SocketStream) -> None:
         reader = FrameReader(stream)
@@ -177,12 +188,12 @@
                 with anyio.fail_after(20 * self.pause_s):
                     header = await reader.exactly(HEADER.size)
                     kind = HEADER.unpack(header)[2]
-                    if self.cells is not None and kind in CELL_ANSWERS:
+                    if kind in self.handlers:
                         body = await reader.exactly(check_header(header, kind))
-                        answer = await self.cells(kind, body)
+                        answer = await self.handlers[kind](kind, body)
                         if answer is None or len(answer) > MAX_BODY:
-                            raise FrameError(f"no answer to a cell's frame of type {kind}")
-                        reply = HEADER.pack(MAGIC, VERSION, CELL_ANSWERS[kind], len(answer)) + answer
+                            raise FrameError(f"no answer to a frame of type {kind}")
+                        reply = HEADER.pack(MAGIC, VERSION, ANSWER_TYPES[kind], len(answer)) + answer
                     elif kind == TYPE_ASK:
                         check_header(header, TYPE_ASK, ASK.size)
                         await reader.exactly(ASK.size)
--- a/tests/support/cells.py
+++ b/tests/support/cells.py
@@ -22,13 +22,14 @@
 from sloeswitch.actors.membership import Standing
 from sloeswitch.cells.frames import CellAnswer, CellRequest
 from sloeswitch.cells.messages import AnswerMessage
-from sloeswitch.cells.origin import CellOrigin, NoAnswerError
+from sloeswitch.cells.origin import CellOrigin
 from sloeswitch.cells.policy import MovePolicy
 from sloeswitch.cells.summary import Summary
 from sloeswitch.cells.target import CellTarget
 from sloeswitch.core import ready
 from sloeswitch.core import tables as t
 from sloeswitch.features import CellFeatures, PeerCell
+from sloeswitch.frame_link import NoAnswerError
 from sloeswitch.settings import Settings, parse
 from sloeswitch.state import Outcome, StaleError
 from tests.conftest import SETTINGS, Store, spec
--- a/tests/test_cells_world.py
+++ b/tests/test_cells_world.py
@@ -15,13 +15,14 @@
 from sloeswitch.cells.frames import CellAnswer, CellRequest, Offer, pack_summary, unpack_summary
 from sloeswitch.cells.link import MeshLink, answer_frame
 from sloeswitch.cells.messages import Answer, HandoffId, Request, RequestMessage
-from sloeswitch.cells.origin import STAY_LEASES, TAKE_BACK_LEASES, NoAnswerError
+from sloeswitch.cells.origin import STAY_LEASES, TAKE_BACK_LEASES
 from sloeswitch.cells.summary import Summary
 from sloeswitch.core import tables as t
 from sloeswitch.core.cancellations import Cancellations
 from sloeswitch.features import PeerCell
+from sloeswitch.frame_link import NoAnswerError
 from sloeswitch.http import Request as HttpRequest
-from sloeswitch.mesh import FrameError, Known, Mesh
+from sloeswitch.mesh import TYPE_CELL_REQUEST, TYPE_SUMMARY_REQUEST, FrameError, Known, Mesh
 from sloeswitch.settings import Address
 from sloeswitch.state import StaleError
 from tests.conftest import spec, submission
@@ -379,7 +380,7 @@
                 await link.summary()
             with pytest.raises(NoAnswerError):
                 await link.summary()  # the feature is off there: the mesh closes the connection
-            mesh.cells = partial(answer_frame, target)
+            mesh.handlers[TYPE_SUMMARY_REQUEST] = mesh.handlers[TYPE_CELL_REQUEST] = partial(answer_frame, target)
             with pytest.raises(NoAnswerError):
                 await link.summary()
             summary = await link.summary()
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -167,6 +167,8 @@
     assert tick(world, 0.1) == 0
     assert not world.machines._has_begun(world.store.tables.jobs[SOLVE])
     assert tick(world, 2.5) == 30
+    # It is kept at the next look too.
+    assert tick(world, 0.1) == 30 and world.machines.gang_room.held
 
 
 def test_a_gang_that_a_present_controller_has_claimed_gets_no_room_here(world: World) -> None:
