The world of several controllers stands in tests/support/cluster.py, for any number of them

Need: a fourth copy of the in-process world would have followed for admission.

Change: moved from test_world.py, with the clock and the scripted state service of test_actors.py, which the cells' world uses too; the members, machines and settings are parameters, and a step is a method. No check changed.

--- a/tests/support/cells.py
+++ b/tests/support/cells.py
@@ -32,9 +32,9 @@
 from sloeswitch.frame_link import NoAnswerError
 from sloeswitch.settings import Settings, parse
 from sloeswitch.state import Outcome, StaleError
-from tests.conftest import SETTINGS, Store, spec
+from tests.conftest import Store, spec
+from tests.support.cluster import Clock, ScriptedReplica, ScriptedState, settings_text
 from tests.support.seeds import play_seeds
-from tests.test_actors import Clock, ScriptedReplica, ScriptedState
 
 CELLS = ("north", "south", "east")
 MEMBERS = ("c0", "c1", "c2")
@@ -52,16 +52,8 @@
 
 
 def settings_of(member: str) -> Settings:
-    """One controller's settings; its siblings are the other members."""
-    head, _, rest = SETTINGS.partition("[[siblings]]")
-    _, _, tail = rest.partition("[outside]")
-    others = [other for other in MEMBERS if other != member]
-    siblings = "".join(
-        f'[[siblings]]\nmember = "{other}"\nzone = "a"\naddress = "127.0.0.1:808{number}"\n'
-        for number, other in enumerate(others)
-    )
-    text = head.replace('member = "c0"', f'member = "{member}"') + siblings + "[outside]" + tail
-    return parse(text.replace("cpus_max = 20.0", f"cpus_max = {TEAM_LIMIT}").replace("count = 2", "count = 3"))
+    """One controller's settings."""
+    return parse(settings_text(member, MEMBERS).replace("cpus_max = 20.0", f"cpus_max = {TEAM_LIMIT}"))
 
 
 class CellState(ScriptedState):
--- a/tests/support/seeds.py
+++ b/tests/support/seeds.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sloeswitch.actors import machines as machines_module
-from tests.test_actors import Clock
+from tests.support.cluster import Clock
 
 
 def follow_newest_world(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Iterator
-from typing import Any
 
 import anyio
 import pytest
@@ -16,77 +15,12 @@
 from sloeswitch.core import tables as t
 from sloeswitch.mesh import Mesh
 from sloeswitch.settings import parse
-from sloeswitch.state import Outcome, Replica, StateClient
 from tests.conftest import SETTINGS, Store, report, spec
+from tests.support.cluster import Clock, ScriptedReplica, ScriptedState
 
 JOB = "wk-000001"
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.time = 1000.0
-
-    def __call__(self) -> float:
-        return self.time
-
-
-class ScriptedState(StateClient):
-    """A state service of a dictionary: commits are checked and applied, or lost as the test says."""
-
-    store: Store
-    lose_answers = 0
-    late: list[tuple[dict[str, int], dict[str, Any], list[str]]]
-    # What it takes now, which may be less than what the settings tell.
-    most_changes_now: int | None = None
-    most_bytes_now: int | None = None
-
-    async def pay(self, changes: int, urgency: Any) -> None:
-        return None
-
-    async def commit(
-        self, conditions: dict[str, int], writes: dict[str, Any], drops: list[str], urgency: Any,
-        lease: dict[str, int] | None = None, paid: int = 0,
-    ) -> tuple[Outcome, int]:  # fmt: skip
-        if self.lose_answers:
-            self.lose_answers -= 1
-            self.late.append((conditions, writes, drops))
-            return Outcome.UNKNOWN, 0
-        sizes = [len(wire.encode(value)) for value in writes.values()]
-        if (self.most_changes_now is not None and len(writes) + len(drops) > self.most_changes_now) or (
-            self.most_bytes_now is not None and max(sizes, default=0) > self.most_bytes_now
-        ):
-            self._refused(writes, len(writes) + len(drops))
-            return Outcome.REFUSED, 0
-        return self.apply(conditions, writes, drops)
-
-    def apply(self, conditions: dict[str, int], writes: dict[str, Any], drops: list[str]) -> tuple[Outcome, int]:
-        tables = self.store.tables
-        # What the state service would refuse (protocol).
-        assert len(writes) + len(drops) <= self.settings.txn_ops
-        assert len(conditions) <= 4 * self.settings.txn_ops
-        assert len(wire.commit_body(conditions, writes, drops, {})) <= wire.MAX_BODY
-        assert all(len(wire.encode(value)) <= self.settings.value_kb * 1024 for value in writes.values())
-        if any(tables.stamp(key) != stamp for key, stamp in conditions.items()):
-            return Outcome.CONFLICT, self.store.epoch
-        for key, value in writes.items():
-            self.store.put(key, value)
-        for key in drops:
-            self.store.put(key, None)
-        return Outcome.DONE, self.store.epoch
-
-
-class ScriptedReplica(Replica):
-    """Knows all that is stored at once."""
-
-    @property
-    def applied(self) -> int:
-        return self.client.store.epoch  # type: ignore[attr-defined, no-any-return]
-
-    @applied.setter
-    def applied(self, epoch: int) -> None:
-        pass
-
-
 class World:
     """One controller, c0.1, alone in view 3 with one machine heard."""
 
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -22,7 +22,8 @@
 from sloeswitch.settings import parse
 from sloeswitch.state import Replica, StateClient
 from tests.conftest import SETTINGS, Store, report, spec
-from tests.test_actors import JOB, Clock, World, machine_up, meshed
+from tests.support.cluster import Clock
+from tests.test_actors import JOB, World, machine_up, meshed
 from tests.test_added_rules import running
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -21,7 +21,8 @@
 from sloeswitch.settings import parse
 from sloeswitch.state import Replica, StateClient
 from tests.conftest import SETTINGS, Store, report, spec, submission
-from tests.test_actors import JOB, Clock, World, machine_up
+from tests.support.cluster import Clock
+from tests.test_actors import JOB, World, machine_up
 from tests.test_added_rules import Cloud, deletions, heartbeat, later, running
 from tests.test_gap import told
 from tests.test_pipelines import submit
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,8 +19,8 @@
 from sloeswitch.core.rendezvous import owner
 from sloeswitch.http import Reply
 from tests.conftest import MACHINE_TYPE, spec
+from tests.support.cluster import Clock
 from tests.support.fleet import FleetWorld, machine_name
-from tests.test_actors import Clock
 
 MACHINES = 4000
 PAGE = 500
