--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -405,10 +405,11 @@
         a run claimed that is gone, once all is settled: such a job never went first for having waited."""
         if job.progress.done or self.registry.placed.get(job.spec.id):
             return True
-        claims = set(job.progress.claims)
-        if self.all_settled:
-            claims &= self.standing.view.tags
-        return len(claims) > (self.standing.tag in claims)
+        claims, own = job.progress.claims, self.standing.tag
+        if len(claims) == (own in claims):
+            return False
+        tags = self.standing.view.tags
+        return not self.all_settled or any(tag in tags for tag in claims if tag != own)
 
     def _summary(self) -> None:
         """What an operator wants to know at a glance, once in a while."""
@@ -728,14 +729,13 @@
     def picture(self, now: float) -> RoomPicture:
         """What is free here, and what may be used, for the planner to take from."""
         teams = self.settings.teams
-        tag = self.standing.tag
         uses = {team: self.limits.use(team) for team in teams}
         return RoomPicture(
             rooms=self._rooms(now),
             uses=uses,
             spare={team.name: self.limits.spare(team, uses[team.name]) for team in teams.values()},
             allowances={team: self.limits.allowance(team) for team in teams},
-            idle_claims={job.spec.id: self._idle_claims(job) for job in self.line if tag in job.progress.claims},
+            idle_claims=self._idle_claims,
             cores_ahead=self._cores_ahead(),
             least_cores=self.least_cores,
             held=self.gang_room.held,
--- a/sloeswitch/core/claim_planner.py
+++ b/sloeswitch/core/claim_planner.py
@@ -38,8 +38,8 @@
     uses: Mapping[str, quota.Use]
     spare: Mapping[str, tuple[float, float]]
     allowances: Mapping[str, tuple[float, float]]
-    # Sets of tasks, by job, that this controller has claimed and not placed.
-    idle_claims: Mapping[str, int]
+    # The set of a job's tasks that this controller has claimed and not placed: asked for only where the look gets to.
+    idle_claims: Callable[[Job], int]
     # Cores likely to fall free in the time that a claim takes, and the smallest amount that any job wants.
     cores_ahead: float
     least_cores: float
@@ -151,7 +151,7 @@
         spec = job.spec
         # One that stands in the line twice has had a part of its tasks already.
         had = self.taken.get(spec.id)
-        idle = 0 if had else self.picture.idle_claims.get(spec.id, 0)
+        idle = 0 if had else self.picture.idle_claims(job)
         open_tasks = self.tables.open_tasks(job, self.settled) & ~(had or 0)
         if not (open_tasks or idle) or self.picture.health.paused(spec.id, self.picture.now):
             return
--- /dev/null
+++ b/tests/support/admission.py
@@ -0,0 +1,331 @@
+"""A seeded world of four controllers with admission on, under more work than room.
+
+What is checked is what controllers logged, what is stored, what users were told and what machines ran: decisions are
+alike, no stored cut falls, no lane stands still beyond its bound, and in calm times no job waits beside room.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from typing import Any
+
+import anyio
+
+from sloeswitch.admission import compare
+from sloeswitch.admission.capacity import IdleRoom
+from sloeswitch.admission.coordinator import AdmissionCoordinator
+from sloeswitch.admission.cuts import Lane, LaneCut, Ticket, row_of
+from sloeswitch.admission.decision_log import DecisionLog, DecisionRecord, EpochRecord, encode
+from sloeswitch.admission.decisions import Decision, decide_by_cut, lane_of, ticket_of
+from sloeswitch.admission.gate import AdmissionGate
+from sloeswitch.admission.idle_room import IdleRoomTracker
+from sloeswitch.admission.limits import LONGEST_WAIT_S, AdmissionLimits
+from sloeswitch.core import tables as t
+from sloeswitch.features import AdmissionFeatures
+from sloeswitch.frame_link import NoAnswerError
+from sloeswitch.settings import parse
+from sloeswitch.state import StaleError
+from tests.conftest import SETTINGS, spec
+from tests.support.cluster import CORES, Node, World, settings_text
+from tests.support.seeds import play_seeds
+
+MEMBERS = ("c0", "c1", "c2", "c3")
+MACHINES = 6
+TEAMS = {"red": (24.0, 40.0), "blue": (8.0, 24.0), "green": (4.0, 16.0)}
+CLASSES = ("train", "index", "post")
+
+
+def cluster_text(teams: dict[str, tuple[float, float]] | None = None) -> str:
+    """Settings with these teams: name -> guarantee and limit, in cores."""
+    rows = "".join(
+        f'[[deployment.teams]]\nname = "{name}"\ncpus = {cpus}\ncpus_max = {most}\ngpus = 0.0\ngpus_max = 0.0\n'
+        for name, (cpus, most) in (teams or TEAMS).items()
+    )
+    head, _, rest = SETTINGS.partition("[[deployment.teams]]")
+    _, _, tail = rest.partition("[deployment.workers]")
+    return head + rows + "[deployment.workers]" + tail
+
+
+class RecordingLog(DecisionLog):
+    """Keeps what a controller logs, as lines of its log."""
+
+    def __init__(self, lines: list[str]) -> None:
+        self.lines = lines
+
+    def epochs(self, before: Any, after: Any) -> None:
+        for path, row in after.items():
+            if before.get(path) != row:
+                self._add(EpochRecord("r" + path, row.number, row.digest))
+
+    def decision(self, job: str, decision: Decision) -> None:
+        row = "" if decision.row is None else "r" + decision.row
+        self._add(DecisionRecord(job, row, decision.number, decision.ground.value, decision.by))
+
+    def _add(self, record: Any) -> None:
+        self.lines.append(f"I admission: {encode(record)}\n")
+
+
+class ScriptedIdleLink:
+    """The way from one controller to another, which may be cut in one direction."""
+
+    def __init__(self, world: AdmissionWorld, sender: str, receiver: str) -> None:
+        self.world = world
+        self.sender = sender
+        self.receiver = receiver
+
+    async def idle_room(self) -> list[IdleRoom]:
+        """Asks for idle room; lost where a way is cut."""
+        world = self.world
+        lost = world.troubled and world.rng.random() < 0.1
+        if lost or (self.sender, self.receiver) in world.cuts or (self.receiver, self.sender) in world.cuts:
+            raise NoAnswerError("lost")
+        node = world.nodes[self.receiver]
+        assert isinstance(node, AdmissionNode)
+        return node.idle.report(world.clock.time)
+
+
+class AdmissionNode(Node):
+    """One process of a controller, with admission."""
+
+    world: AdmissionWorld
+
+    def __init__(self, world: AdmissionWorld, name: str) -> None:
+        super().__init__(world, name)
+        self.idle = IdleRoomTracker()
+        links = {other: ScriptedIdleLink(world, name, other) for other in world.members if other != name}
+        self.admission = AdmissionCoordinator(
+            self.settings, AdmissionFeatures(world.deferring), self.client, self.replica, self.standing,
+            lambda: self.idle.report(world.clock.time), links, world.clock,
+        )  # fmt: skip
+        lines = world.logs.setdefault(f"{name}.{len(world.logs)}", [])
+        self.machines.gate = AdmissionGate(self.tables, RecordingLog(lines), lambda: self.admission.switched_on)
+        self.machines.on_rooms_left = lambda rooms, at: self.idle.observe(rooms, self.tables.types, at)
+        self.look_at = 0.0
+
+    def look(self) -> None:
+        """What the coordinator's loops do in the time of an epoch."""
+        if self.world.clock.time < self.look_at:
+            return
+        self.look_at = self.world.clock.time + 0.8 * self.admission.limits.epoch_s
+
+        async def loops() -> None:
+            await self.admission.feature.mark()
+            for member in self.admission.links:
+                try:
+                    await self.admission.ask(member)
+                except NoAnswerError:
+                    continue
+            try:
+                await self.admission.epoch()
+            except StaleError:
+                return
+            if self.admission.switched_on and self.standing.coordinating and self.reaches:
+                self.world.looked()
+
+        anyio.run(loops)
+
+
+class AdmissionWorld(World):
+    """Time, what is stored, the workers, and the rules of admission besides those of the protocol."""
+
+    nodes: dict[str, Any]
+
+    def __init__(
+        self, seed: int, troubled: bool = True, deferring: bool = True, text: str | None = None,
+        machines: int = MACHINES,
+    ) -> None:  # fmt: skip
+        self.deferring = deferring
+        self.logs: dict[str, list[str]] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        # The highest cut that was stored, by lane.
+        self.highest: dict[Lane, Ticket] = {}
+        # Jobs that are not admitted by a stored cut yet: looks that passed since they were their lane's head.
+        self.looks: Counter[str] = Counter()
+        self.head_since: dict[str, float] = {}
+        self.longest_as_head_s = 0.0
+        self.submitted_at: dict[str, float] = {}
+        self.admitted_at: dict[str, float] = {}
+        self.undisturbed_s = 0.0
+        self.looked_at = 0.0
+        # Jobs that wait beside room: since when.
+        self.beside_room: dict[str, float] = {}
+        self.limits = AdmissionLimits.of(parse(settings_text("c0", MEMBERS, text or cluster_text())))
+        super().__init__(seed, troubled, MEMBERS, machines, text or cluster_text())
+        self.task_ends = 0.012
+        self.store.put(t.UPGRADE, {"seen": list(MEMBERS), "complete": True})
+
+    def new_node(self, name: str) -> Node:
+        return AdmissionNode(self, name)
+
+    # -- the coordinator
+
+    def coordinate(self) -> None:
+        super().coordinate()
+        tables = self.store.tables
+        if self.outage:
+            return
+        if tables.coordinator is not None and tables.coordinator not in self.leases:
+            self.store.put(t.COORD, None)
+        if tables.coordinator is None and tables.view.members:
+            present = [pair for pair in tables.view.members if pair in self.leases]
+            if present:
+                member, boot = self.rng.choice(present)
+                self.store.put(t.COORD, {"member": member, "boot": boot})
+                self.happened["coordinator"] += 1
+
+    def looked(self) -> None:
+        """A coordinator that reaches the state service has reckoned an epoch."""
+        self.undisturbed_s += min(self.limits.epoch_s, self.clock.time - self.looked_at)
+        self.looked_at = self.clock.time
+        self.happened["look"] += 1
+
+    # -- steps
+
+    def happen(self, luck: float, node: Node) -> None:
+        """More troubles of controllers, and more work than room."""
+        if not self.troubled:
+            return
+        if luck < 0.003 or (self.outage and luck < 0.03):
+            self.outage = not self.outage
+            self.happened["outage"] += 1
+        elif luck < 0.01 or (node.refused and luck < 0.1):
+            node.refused = not node.refused
+        elif luck < 0.02:
+            self.nodes[node.settings.member] = self.new_node(node.settings.member)
+            self.happened["crash"] += 1
+        elif luck < 0.022:
+            for name in self.members:
+                self.nodes[name] = self.new_node(name)
+            self.happened["all crash"] += 1
+        elif luck < 0.03:
+            one, other = self.rng.sample(self.members, 2)
+            self.cuts ^= {(one, other)}
+        elif luck < 0.045 and self.sizes:
+            self.cancel(self.rng.choice(sorted(self.sizes)), node)
+        elif luck < 0.3:
+            self.ask_sibling(node)
+
+    def submit_some(self, most: int) -> None:
+        """Users submit jobs of all teams and classes, some of which wait for others."""
+        if self.rng.random() > 0.35 or len(self.sizes) >= most:
+            return
+        self.number += 1
+        team = self.rng.choices(list(TEAMS), weights=[6, 2, 1])[0]
+        awaits = [self.rng.choice(sorted(self.sizes))] if self.sizes and self.rng.random() < 0.1 else ...
+        job = spec(
+            f"wk-{self.number:06d}", crew=team, roster=self.rng.choice(CLASSES), visits=self.rng.randint(1, 5),
+            urgency=self.rng.choice(("urgent", "standard", "best_effort")), awaits=awaits, expectedS=12.0, pullGb=0.1,
+        )  # fmt: skip
+        node = self.nodes[self.rng.choice(self.members)]
+        if self.submit(node, job):
+            self.submitted_at[job.id] = self.clock.time
+
+    def step(self, calm: bool = False) -> None:
+        super().step(calm)
+        for node in self.nodes.values():
+            node.look()
+        self.check_cuts()
+        self.check_bound()
+        if calm:
+            self.check_idle_room()
+
+    def end_troubles(self) -> None:
+        super().end_troubles()
+        self.troubled = False
+        self.cuts.clear()
+        self.beside_room.clear()
+
+    # -- rules
+
+    def check_cuts(self) -> None:
+        """No stored cut falls, and no controller holds one above it."""
+        rows = self.store.tables.admission
+        for lane in {lane_of(job.spec) for job in self.store.tables.jobs.values()} | self.highest.keys():
+            path = row_of(rows, lane)
+            stored = rows[path].of(lane).cut if path is not None else Ticket(0, "")
+            assert stored >= self.highest.get(lane, stored), f"a cut falls: {lane}"
+            self.highest[lane] = stored
+            for node in self.nodes.values():
+                held = row_of(node.tables.admission, lane)
+                cut: LaneCut | None = None if held is None else node.tables.admission[held].of(lane)
+                assert cut is None or cut.cut <= stored, f"{node.settings.member} is ahead: {lane}"
+
+    def check_bound(self) -> None:
+        """A lane's head is admitted within its bound, reckoned in time in which a coordinator looks undisturbed."""
+        tables = self.store.tables
+        heads: dict[Lane, Any] = {}
+        for job in tables.jobs.values():
+            admitted = decide_by_cut(job, tables.admission).admitted
+            if admitted:
+                self.admitted_at.setdefault(job.spec.id, self.clock.time)
+            elif job.status == t.LIVE and not job.cancelled and not job.progress_stamp:
+                lane = lane_of(job.spec)
+                if lane not in heads or ticket_of(job) < ticket_of(heads[lane]):
+                    heads[lane] = job
+        names = {job.spec.id for job in heads.values()}
+        self.head_since = {name: since for name, since in self.head_since.items() if name in names}
+        for name in names:
+            since = self.head_since.setdefault(name, self.undisturbed_s)
+            waited = self.undisturbed_s - since
+            self.longest_as_head_s = max(self.longest_as_head_s, waited)
+            # Lost and late changes cost a look each; a few of them may follow one another.
+            allowed = self.limits.head_bound_s(len(tables.admission)) + 6 * self.limits.epoch_s
+            assert waited <= allowed, f"a lane stands still: {name}"
+
+    def check_idle_room(self) -> None:
+        """No job waits beside room that fits while its team is under its limit."""
+        present = self.present()
+        on_machines = Counter(machine for _, machine in present)
+        cores: Counter[str] = Counter()
+        for task, machine in present:
+            cores[machine] += int(self.specs[task.partition("/")[0]].cores)
+        tasks = [task for task, _ in present]
+        for name in self.unfinished():
+            job = self.store.tables.jobs.get(name)
+            waits = job is not None and job.runnable and bool(self.store.tables.open_tasks(job, True))
+            room = any(cores[w.name] + self.specs[name].cores <= CORES for w in self.workers)
+            team = self.specs[name].team
+            limit = self.nodes["c0"].settings.teams[team].cpus_max
+            if waits and room and self.used(team, tasks) + self.specs[name].cores <= limit:
+                since = self.beside_room.setdefault(name, self.clock.time)
+                assert self.clock.time - since < LONGEST_WAIT_S, f"waits beside room: {name} {on_machines}"
+            else:
+                self.beside_room.pop(name, None)
+
+    def check_logs(self) -> None:
+        """All controllers logged the same decisions."""
+        difference = compare.compare(list(self.logs.items()))
+        assert difference is None, f"decisions differ: {difference.one} | {difference.other}"
+
+    def deferred(self) -> int:
+        """How many jobs were deferred when they were first decided on, by any controller."""
+        lines = [line for lines in self.logs.values() for line in lines]
+        return len({line.partition('"job":')[2].partition(",")[0] for line in lines if '"deferred"' in line})
+
+
+def play(seed: int, steps: int, calm_steps: int = 0, jobs: int = 120) -> AdmissionWorld:
+    """Plays a world of overload, and then calm times in which everything is to end."""
+    world = AdmissionWorld(seed)
+    world.start()
+    for _ in range(steps):
+        world.submit_some(jobs)
+        world.step()
+    world.end_troubles()
+    for _ in range(calm_steps):
+        world.step(calm=True)
+        if not world.unfinished():
+            break
+    world.check_logs()
+    return world
+
+
+def play_long(seed: int) -> None:
+    """Ten simulated minutes of overload, and the calm after it."""
+    world = play(seed, 4000, 6000, jobs=600)
+    assert not world.unfinished(), f"left: {sorted(world.unfinished())[:3]}"
+
+
+if __name__ == "__main__":
+    # Long worlds of these seeds, outside CI.
+    sys.exit(play_seeds(play_long, int(sys.argv[1]), int(sys.argv[2])))
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -119,6 +119,8 @@
         self.troubled = troubled
         self.members = members
         self.text = text
+        # How likely a running task ends in a step.
+        self.task_ends = 0.06
         # All jobs that were submitted, whether or not they were accepted.
         self.specs: dict[str, wire.JobSpec] = {}
         self.happened = Counter[str]()
@@ -675,7 +677,7 @@
 
     def work(self) -> None:
         for key, (state, _cause) in list(self.tasks.items()):
-            if state == "running" and self.world.rng.random() < 0.06:
+            if state == "running" and self.world.rng.random() < self.world.task_ends:
                 self.tasks[key] = ("ended", "done")
                 self.world.finished.add(key[0])
 
