Test: four controllers that fail under overload; the comparison sees what was deferred in between

A controller that went by its own queue was not caught: a decision is logged once, and two logs seldom name the same job at the same number.

--- a/tests/support/admission.py
+++ b/tests/support/admission.py
@@ -15,7 +15,7 @@
 from sloeswitch.admission import compare
 from sloeswitch.admission.capacity import IdleRoom
 from sloeswitch.admission.coordinator import AdmissionCoordinator
-from sloeswitch.admission.cuts import Lane, LaneCut, Ticket, row_of
+from sloeswitch.admission.cuts import ROOT, Lane, LaneCut, Ticket, row_of
 from sloeswitch.admission.decision_log import DecisionLog, DecisionRecord, EpochRecord, encode
 from sloeswitch.admission.decisions import Decision, decide_by_cut, lane_of, ticket_of
 from sloeswitch.admission.gate import AdmissionGate
@@ -31,8 +31,8 @@
 from tests.support.seeds import play_seeds
 
 MEMBERS = ("c0", "c1", "c2", "c3")
-MACHINES = 6
-TEAMS = {"red": (24.0, 40.0), "blue": (8.0, 24.0), "green": (4.0, 16.0)}
+MACHINES = 4
+TEAMS = {"red": (8.0, 24.0), "blue": (4.0, 16.0), "green": (2.0, 12.0)}
 TASK_CORES = 2.0
 CLASSES = ("train", "index", "post")
 
@@ -208,9 +208,15 @@
         elif luck < 0.3:
             self.ask_sibling(node)
 
+    @property
+    def past_lead(self) -> bool:
+        """Whether the common cut is behind the clock, so that what comes now may be deferred."""
+        root = self.store.tables.admission.get(ROOT)
+        return root is not None and root.common.cut.submitted_ms < 1000 * self.clock.time
+
     def submit_some(self, most: int) -> None:
         """Users submit jobs of all teams and classes, some of which wait for others."""
-        if self.rng.random() > 0.35 or len(self.sizes) >= most:
+        if self.rng.random() > 0.35 or len(self.sizes) >= most or (len(self.sizes) >= most / 2 and not self.past_lead):
             return
         self.number += 1
         team = self.rng.choices(list(TEAMS), weights=[6, 2, 1])[0]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -597,6 +597,23 @@
     assert '"deferred"' in one and '"cut"' in other
 
 
+def test_what_one_deferred_through_later_numbers_no_other_may_have_admitted_there() -> None:
+    def line(kind: str, **fields: Any) -> str:
+        return " admission: " + msgspec.json.encode({"type": kind, **fields}).decode()
+
+    def epoch(number: int) -> str:
+        return line("epoch", row="r", number=number, digest=str(number))
+
+    def decision(number: int, ground: str) -> str:
+        return line("decision", job="wk-1", row="r", number=number, ground=ground, by="wk-1")
+
+    slow = [epoch(1), decision(1, "deferred"), epoch(2), epoch(4), decision(4, "cut")]
+    assert compare.compare([("a", slow), ("b", [decision(3, "cut")])]) is None, "between two that it applied"
+    difference = compare.compare([("a", slow), ("b", [decision(2, "cut")])])
+    assert difference is not None and (difference.one.number, difference.other.number) == (3, 1)
+    assert compare.compare([("a", [epoch(1)]), ("b", [line("epoch", row="r", number=1, digest="x")])]) is not None
+
+
 @pytest.mark.parametrize("line", ['{"type":"epoch"}', "{", '{"type":"other"}', '{"type":"decision","job":3}'])
 def test_a_malformed_record_is_named_with_its_file_and_line(line: str, tmp_path: Any) -> None:
     path = tmp_path / "c0.log"
--- /dev/null
+++ b/tests/test_admission_world.py
@@ -0,0 +1,73 @@
+"""Four controllers that fail, under more work than room: all decide alike, no lane stands still, everything ends."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import replace
+
+import pytest
+
+from sloeswitch.admission import decisions
+from sloeswitch.admission.cuts import AdmissionRow, Lane, LaneCut
+from sloeswitch.admission.decisions import Decision, Ground
+from sloeswitch.admission.epoch import Epoch
+from sloeswitch.core.tables import Job
+from tests.support.admission import AdmissionWorld, play
+from tests.support.seeds import follow_newest_world
+
+STEPS, CALM_STEPS, JOBS = 350, 1500, 60
+
+
+@pytest.fixture(autouse=True)
+def wall_clock(monkeypatch: pytest.MonkeyPatch) -> None:
+    follow_newest_world(monkeypatch)
+
+
+@pytest.mark.parametrize("seed", [2, 3, 6])
+def test_all_decide_alike_and_everything_ends_once_the_troubles_are_over(seed: int) -> None:
+    world = play(seed, STEPS, CALM_STEPS, JOBS)
+    assert world.unfinished() == set()
+    # The world is one in which something happens.
+    assert world.deferred() > 5 and world.starts > 50 and world.happened["crash"] and world.happened["look"] > 50
+
+
+def test_a_controller_that_goes_by_its_own_queue_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    decide = decisions.decide_by_cut
+    calls = 0
+
+    def by_own_queue(job: Job, rows: Mapping[str, AdmissionRow]) -> Decision:
+        nonlocal calls
+        calls += 1
+        decision = decide(job, rows)
+        admits = decision.ground is Ground.DEFERRED and decision.row is not None and calls % 5 == 0
+        return replace(decision, ground=Ground.CUT) if admits else decision
+
+    monkeypatch.setattr(decisions, "decide_by_cut", by_own_queue)
+    with pytest.raises(AssertionError, match="decisions differ"):
+        play(2, STEPS, CALM_STEPS, JOBS)
+
+
+def test_a_cut_that_falls_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def lowered(
+        row: AdmissionRow, common: LaneCut, lanes: Mapping[Lane, LaneCut], deficits: Mapping[str, float]
+    ) -> AdmissionRow:
+        return replace(row, number=row.number + 1, common=common, lanes=dict(lanes), deficits={})
+
+    monkeypatch.setattr(AdmissionRow, "raised", lowered)
+    with pytest.raises(AssertionError, match="a cut falls"):
+        play(2, STEPS, CALM_STEPS, JOBS)
+
+
+def test_a_lane_without_patience_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Epoch, "_admit_patient", lambda epoch: None)
+    with pytest.raises(AssertionError, match="a lane stands still"):
+        play(2, STEPS, CALM_STEPS, JOBS)
+
+
+def test_nothing_is_deferred_and_no_row_is_written_where_it_is_off() -> None:
+    world = AdmissionWorld(1, deferring=False)
+    world.start()
+    for _ in range(150):
+        world.submit_some(JOBS)
+        world.step()
+    assert world.store.tables.admission == {} and world.sizes and not any(world.logs.values())
