Decisions and epochs with ten thousand deferred jobs, and the tools that measure them

Lanes were sorted and looked up for each job, and all deferred jobs decided anew. Change: each lane's cut is looked up once, only lanes whose cut rose are decided anew, and what found no room in an epoch stands for everything alike. tests/support/overload.py measures; its libraries are in requirements-tools.txt.

--- a/sloeswitch/admission/backlog.py
+++ b/sloeswitch/admission/backlog.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from sloeswitch.admission.capacity import Capacity
-from sloeswitch.admission.cuts import AdmissionRow, Lane, LaneCut, row_of
+from sloeswitch.admission.cuts import AdmissionRow, Lane, LaneCut, Ticket, row_of
 from sloeswitch.admission.decisions import Decision, ancestors, lane_of, ticket_of
 from sloeswitch.core import fleet
 from sloeswitch.core.quota import Use
@@ -57,7 +57,7 @@
 
     lane: Lane
     cut: LaneCut
-    waiting: list[Job] = field(default_factory=list)
+    waiting: list[tuple[Ticket, Job]] = field(default_factory=list)
     risen: bool = False
     # Jobs before this place found no room in this epoch.
     looked: int = 0
@@ -65,15 +65,15 @@
     @property
     def head(self) -> Job | None:
         """The job with the earliest ticket."""
-        return self.waiting[0] if self.waiting else None
+        return self.waiting[0][1] if self.waiting else None
 
     def since_ms(self) -> int:
         """Since when the head waits as a head."""
-        return max(self.waiting[0].submitted_ms, self.cut.risen_ms)
+        return max(self.waiting[0][0].submitted_ms, self.cut.risen_ms)
 
     def raise_to(self, place: int, wall_ms: int) -> None:
         """Admits all up to this place in the queue."""
-        self.cut = LaneCut(ticket_of(self.waiting[place]), wall_ms)
+        self.cut = LaneCut(self.waiting[place][0], wall_ms)
         del self.waiting[: place + 1]
         self.looked, self.risen = 0, True
 
@@ -97,9 +97,11 @@
                 if path is None:
                     continue
                 queue = self.lanes[lane] = LaneQueue(lane, rows[path].of(lane))
-            queue.waiting.append(job)
+            queue.waiting.append((ticket_of(job), job))
+        self._of_team: dict[str, list[LaneQueue]] = {}
         for queue in self.lanes.values():
-            queue.waiting.sort(key=ticket_of)
+            queue.waiting.sort(key=_ticket)
+            self._of_team.setdefault(queue.lane.team, []).append(queue)
 
     def __bool__(self) -> bool:
         return any(queue.waiting for queue in self.lanes.values())
@@ -111,8 +113,8 @@
 
     def of_team(self, team: str) -> list[LaneQueue]:
         """A team's lanes with deferred jobs: by priority, then by the ticket of the head."""
-        found = [queue for lane, queue in self.lanes.items() if lane.team == team and queue.waiting]
-        return sorted(found, key=lambda queue: (RANK[queue.lane.priority], ticket_of(queue.waiting[0]), queue.lane))
+        found = [queue for queue in self._of_team.get(team, ()) if queue.waiting]
+        return sorted(found, key=lambda queue: (RANK[queue.lane.priority], queue.waiting[0][0], queue.lane))
 
     def bundle(self, job: Job) -> Bundle:
         """The job with all deferred ones that it needs."""
@@ -125,6 +127,10 @@
         return (queue for queue in self.lanes.values() if queue.risen)
 
 
+def _ticket(entry: tuple[Ticket, Job]) -> Ticket:
+    return entry[0]
+
+
 def _may_enter(job: Job) -> bool:
     """Whether there is anything to be admitted: not cancelled, and not with another cell."""
     return job.status == LIVE and not job.cancelled and bool(job.runnable or job.waits)
--- a/sloeswitch/admission/decisions.py
+++ b/sloeswitch/admission/decisions.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
-from sloeswitch.admission.cuts import AdmissionRow, Lane, Ticket, row_of
+from sloeswitch.admission.cuts import FIRST_TICKET, AdmissionRow, Lane, Ticket, row_of
 from sloeswitch.core.tables import Job, Tables
 from sloeswitch.wire import JobSpec
 
@@ -20,9 +20,8 @@
     DEFERRED = "deferred"
 
 
-@dataclass(frozen=True)
-class Decision:
-    """One job's decision, and the row that it depends on."""
+class Decision(NamedTuple):
+    """One job's decision, and the row that it depends on. A tuple, since there is one for each job that is not over."""
 
     ground: Ground
     # The row's path and number; None while the row is not known.
@@ -47,15 +46,39 @@
     return Ticket(job.submitted_ms, job.spec.id)
 
 
-def decide_by_cut(job: Job, rows: Mapping[str, AdmissionRow]) -> Decision:
-    """A job's decision by its own lane's cut."""
-    lane = lane_of(job.spec)
-    path = row_of(rows, lane)
-    if path is None:
-        return Decision(Ground.DEFERRED, by=job.spec.id)
-    row = rows[path]
-    ground = Ground.CUT if ticket_of(job) <= row.of(lane).cut else Ground.DEFERRED
-    return Decision(ground, path, row.number, job.spec.id)
+class CutReader:
+    """Looks decisions up by the rows as they are now; each lane's row and cut once."""
+
+    def __init__(self, rows: Mapping[str, AdmissionRow]) -> None:
+        self.rows = rows
+        self._lanes: dict[tuple[str, str, str], tuple[str | None, int, Ticket]] = {}
+
+    def cut_of(self, lane: Lane) -> tuple[str | None, int, Ticket]:
+        """The path and number of a lane's row, and its cut; None, 0 and the first ticket while that is not known."""
+        path = row_of(self.rows, lane)
+        if path is None:
+            return None, 0, FIRST_TICKET
+        return path, self.rows[path].number, self.rows[path].of(lane).cut
+
+    def cut(self, spec: JobSpec) -> tuple[str | None, int, Ticket]:
+        """The same for a job's lane."""
+        key = (spec.team, spec.klass, spec.priority)
+        found = self._lanes.get(key)
+        if found is None:
+            found = self._lanes[key] = self.cut_of(lane_of(spec))
+        return found
+
+    def decide(self, job: Job) -> Decision:
+        """A job's decision by its own cut, or since work on it has begun."""
+        path, number, cut = self.cut(job.spec)
+        if path is not None and (job.submitted_ms, job.spec.id) <= cut:
+            ground = Ground.CUT
+        elif job.progress_stamp:
+            # Begun under a cut that is not read yet here, or before the feature was on: it must not stand still.
+            ground = Ground.BEGUN
+        else:
+            ground = Ground.DEFERRED
+        return Decision(ground, path, number, job.spec.id)
 
 
 def ancestors(job: Job, tables: Tables) -> Iterable[Job]:
@@ -74,31 +97,22 @@
 
 def decide(tables: Tables, names: Iterable[str] | None = None) -> dict[str, Decision]:
     """The decisions of the jobs that are not over. `names`: only these, and those that they need."""
-    rows = tables.admission
+    reader = CutReader(tables.admission)
     found: dict[str, Decision] = {}
     waiting: list[Job] = []
     for name in tables.jobs if names is None else names:
         job = tables.jobs.get(name)
         if job is None:
             continue
-        found[name] = _decide_alone(job, rows)
-        if job.waits and not job.cancelled and found[name].admitted:
+        found[name] = decision = reader.decide(job)
+        if job.waits and not job.cancelled and decision.admitted:
             waiting.append(job)
     for job in waiting:
         cause = found[job.spec.id]
         for needed in ancestors(job, tables):
             name = needed.spec.id
             if name not in found:
-                found[name] = _decide_alone(needed, rows)
+                found[name] = reader.decide(needed)
             if not found[name].admitted:
                 found[name] = Decision(Ground.NEEDED, cause.row, cause.number, cause.by)
     return found
-
-
-def _decide_alone(job: Job, rows: Mapping[str, AdmissionRow]) -> Decision:
-    """A job's decision by its own cut, or since work on it has begun."""
-    decision = decide_by_cut(job, rows)
-    if not decision.admitted and job.progress_stamp:
-        # Begun under a cut that is not read yet here, or before the feature was on: it must not stand still.
-        return Decision(Ground.BEGUN, decision.row, decision.number, job.spec.id)
-    return decision
--- a/sloeswitch/admission/epoch.py
+++ b/sloeswitch/admission/epoch.py
@@ -20,6 +20,7 @@
 )
 from sloeswitch.admission.decisions import decide
 from sloeswitch.admission.limits import SURPLUS, AdmissionLimits
+from sloeswitch.core.claim_planner import shape_of
 from sloeswitch.core.quota import Use, within_guarantee
 from sloeswitch.core.tables import Job, Tables
 from sloeswitch.settings import Settings, Team
@@ -53,6 +54,8 @@
         self.capacity = Capacity(tables, settings, admitted, told, wall_ms, SURPLUS)
         self.uses = admitted_use(admitted, self.decisions)
         self.deficits = self._stored_deficits()
+        # What found no room in this epoch: nothing alike does. Room only becomes less.
+        self.no_room: set[tuple[object, ...]] = set()
 
     def changes(self, value_bytes: int) -> list[RowChange]:
         """What is to be stored: nothing where no cut rises. Rows that would pass the value limit are split."""
@@ -188,9 +191,14 @@
             return None
         for queue in self.backlog.of_team(team):
             while queue.looked < len(queue.waiting):
-                bundle = self.backlog.bundle(queue.waiting[queue.looked])
-                if bundle.fits(self.capacity):
-                    return queue, queue.looked, bundle
+                job = queue.waiting[queue.looked][1]
+                alike = None if job.waits else (job.spec.team, job.spec.gang and job.spec.tasks, shape_of(job.spec))
+                if alike not in self.no_room:
+                    bundle = self.backlog.bundle(job)
+                    if bundle.fits(self.capacity):
+                        return queue, queue.looked, bundle
+                    if alike is not None:
+                        self.no_room.add(alike)
                 queue.looked += 1
         return None
 
--- a/sloeswitch/admission/gate.py
+++ b/sloeswitch/admission/gate.py
@@ -4,17 +4,17 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from sloeswitch.admission.cuts import AdmissionRow
+from sloeswitch.admission.cuts import AdmissionRow, Lane
 from sloeswitch.admission.decision_log import DecisionLog
-from sloeswitch.admission.decisions import Decision, Ground, decide
+from sloeswitch.admission.decisions import CutReader, Decision, Ground, decide, lane_of
 from sloeswitch.core.tables import Tables
 
 
 class AdmissionGate:
     """Owns this controller's view of the decisions; `Job.deferred` follows from it.
 
-    Decisions are taken anew when a row changes, but for what its own cut admits, and for jobs that are new. Nothing
-    else can change them but a dependent that is cancelled, which counts with the next row.
+    Decisions are taken anew for jobs that are new, and when a row changes for what its lane's cut, another job or begun
+    work decides. Nothing else can change them but a dependent that is cancelled, which counts with the next row.
     """
 
     def __init__(self, tables: Tables, log: DecisionLog, switched_on: Callable[[], bool]) -> None:
@@ -24,6 +24,9 @@
         self._rows: Mapping[str, AdmissionRow] | None = None
         # By job, and the job's object: the tables make new ones when they are read afresh.
         self._decided: dict[str, tuple[int, Decision]] = {}
+        # Jobs that are deferred by their own cut, by lane, with the cut.
+        self._deferred: dict[Lane, set[str]] = {}
+        self._cuts: dict[Lane, tuple[str | None, tuple[int, str]]] = {}
 
     def apply(self) -> None:
         """Brings the marks up to date."""
@@ -31,21 +34,40 @@
             self._open()
             return
         rows = self.tables.admission
-        changed = rows is not self._rows
-        if changed:
+        names: set[str] = set()
+        if rows is not self._rows:
             self.log.epochs(self._rows or {}, rows)
             self._rows = rows
+            names = self._of_changed_lanes() | self._uncertain()
         decided = self._decided
-        names = {
+        names |= {
             name for name, job in self.tables.jobs.items()
             if (known := decided.get(name)) is None or known[0] != id(job)
-            or (changed and (_may_change(known[1]) or job.waits))
         }  # fmt: skip
         if names:
             self._decide(names | self._dependents(names))
         if len(decided) > 2 * len(self.tables.jobs) + 1:
             self._decided = {name: known for name, known in decided.items() if name in self.tables.jobs}
 
+    def _of_changed_lanes(self) -> set[str]:
+        """Deferred jobs of lanes whose cut rose. With thousands of them most lanes stand still in an epoch."""
+        reader = CutReader(self.tables.admission)
+        found: set[str] = set()
+        for lane, names in self._deferred.items():
+            path, _, cut = reader.cut_of(lane)
+            if self._cuts.get(lane) != (path, cut):
+                self._cuts[lane] = (path, cut)
+                found |= names
+        return found
+
+    def _uncertain(self) -> set[str]:
+        """Jobs whose decision follows from others, or from work that had begun, and those that wait for others."""
+        return {
+            name for name, (_, decision) in self._decided.items()
+            if decision.ground in (Ground.NEEDED, Ground.BEGUN)
+            or ((job := self.tables.jobs.get(name)) is not None and job.waits)
+        }  # fmt: skip
+
     def _dependents(self, names: set[str]) -> set[str]:
         """The jobs that need these, directly or through others: an admitted one admits what it needs."""
         successors = self.tables.graph.successors
@@ -66,6 +88,8 @@
                 self.log.decision(name, decision)
             self._decided[name] = (id(job), decision)
             job.deferred = not decision.admitted
+            deferred = self._deferred.setdefault(lane_of(job.spec), set())
+            (deferred.add if job.deferred else deferred.discard)(name)
 
     def _open(self) -> None:
         """The feature is off: everything is admitted."""
@@ -74,9 +98,4 @@
         for job in self.tables.jobs.values():
             job.deferred = False
         self._rows = None
-        self._decided = {}
-
-
-def _may_change(decision: Decision) -> bool:
-    """Whether another row may change it: cuts only rise, so that what a cut admits stays admitted."""
-    return decision.ground is not Ground.CUT
+        self._decided, self._deferred, self._cuts = {}, {}, {}
--- a/tests/support/admission.py
+++ b/tests/support/admission.py
@@ -17,7 +17,7 @@
 from sloeswitch.admission.coordinator import AdmissionCoordinator
 from sloeswitch.admission.cuts import ROOT, Lane, LaneCut, Ticket, row_of
 from sloeswitch.admission.decision_log import DecisionLog, DecisionRecord, EpochRecord, encode
-from sloeswitch.admission.decisions import Decision, decide_by_cut, lane_of, ticket_of
+from sloeswitch.admission.decisions import Decision, decide, lane_of, ticket_of
 from sloeswitch.admission.gate import AdmissionGate
 from sloeswitch.admission.idle_room import IdleRoomTracker
 from sloeswitch.admission.limits import LONGEST_WAIT_S, AdmissionLimits
@@ -141,12 +141,9 @@
         self.cuts: set[tuple[str, str]] = set()
         # The highest cut that was stored, by lane.
         self.highest: dict[Lane, Ticket] = {}
-        # Jobs that are not admitted by a stored cut yet: looks that passed since they were their lane's head.
-        self.looks: Counter[str] = Counter()
+        # Deferred jobs that are their lane's head: since when, in time in which a coordinator looked.
         self.head_since: dict[str, float] = {}
         self.longest_as_head_s = 0.0
-        self.submitted_at: dict[str, float] = {}
-        self.admitted_at: dict[str, float] = {}
         self.undisturbed_s = 0.0
         self.looked_at = 0.0
         # Since when machines have room, and jobs could start that do not.
@@ -226,8 +223,7 @@
             urgency=self.rng.choice(("urgent", "standard", "best_effort")), awaits=awaits, expectedS=12.0, pullGb=0.1,
         )  # fmt: skip
         node = self.nodes[self.rng.choice(self.members)]
-        if self.submit(node, job):
-            self.submitted_at[job.id] = self.clock.time
+        self.submit(node, job)
 
     def step(self, calm: bool = False) -> None:
         super().step(calm)
@@ -263,11 +259,9 @@
         """A lane's head is admitted within its bound, reckoned in time in which a coordinator looks undisturbed."""
         tables = self.store.tables
         heads: dict[Lane, Any] = {}
-        for job in tables.jobs.values():
-            admitted = decide_by_cut(job, tables.admission).admitted
-            if admitted:
-                self.admitted_at.setdefault(job.spec.id, self.clock.time)
-            elif job.status == t.LIVE and not job.cancelled and not job.progress_stamp:
+        for name, decision in decide(tables).items():
+            job = tables.jobs[name]
+            if not decision.admitted and job.status == t.LIVE and not job.cancelled:
                 lane = lane_of(job.spec)
                 if lane not in heads or ticket_of(job) < ticket_of(heads[lane]):
                     heads[lane] = job
--- /dev/null
+++ b/tests/support/overload.py
@@ -0,0 +1,225 @@
+"""What agreed admission gains and costs: the same seeded overload with and without it, no troubles.
+
+Outside CI, with requirements-tools.txt installed:
+
+    python3 -m tests.support.overload FIRST LAST REPORT.html   # these seeds: a line a run, means, and a page with plots
+    python3 -m tests.support.overload scale                    # 10,000 deferred jobs on 4,000 machines
+"""
+
+from __future__ import annotations
+
+import random
+import resource
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import pytest
+
+from sloeswitch.admission import epoch as epochs
+from sloeswitch.admission.cuts import ROOT, AdmissionRow, LaneCut, Ticket
+from sloeswitch.admission.decision_log import DecisionLog
+from sloeswitch.admission.gate import AdmissionGate
+from sloeswitch.admission.limits import AdmissionLimits
+from sloeswitch.core import tables as t
+from tests.conftest import spec
+from tests.support.admission import AdmissionWorld
+from tests.support.cluster import Worker
+from tests.support.fleet import FleetWorld, job_name
+from tests.support.seeds import follow_newest_world
+
+# A flood of one team, and one urgent job of a small team at a time.
+FLOOD_JOBS = 90
+URGENT_JOBS = 8
+URGENT_EVERY_S = 20.0
+DUE_S = 120.0
+LONGEST_MS = 3_600_000
+DEFERRED_JOBS = 10_000
+MACHINES = 4_000
+
+
+@dataclass
+class Outcome:
+    """One run: waits from submission to the first start, in milliseconds, by kind of job."""
+
+    flood_ms: list[int] = field(default_factory=list)
+    urgent_ms: list[int] = field(default_factory=list)
+    in_time: float = 0.0
+    changes: int = 0
+    epochs: int = 0
+    longest_head_s: float = 0.0
+    unfinished: int = 0
+
+
+class LoadWorld(AdmissionWorld):
+    """Notes when jobs start and end."""
+
+    def __init__(self, seed: int, deferring: bool) -> None:
+        super().__init__(seed, troubled=False, deferring=deferring)
+        self.started_at: dict[str, float] = {}
+        self.submitted_at: dict[str, float] = {}
+
+    def check_start(self, worker: Worker, task: str) -> None:
+        super().check_start(worker, task)
+        self.started_at.setdefault(task.partition("/")[0], self.clock.time)
+
+
+def load(seed: int, deferring: bool) -> Outcome:
+    """A flood of the red team's jobs in ten seconds, and green's urgent ones beside it, until all are done."""
+    world = LoadWorld(seed, deferring)
+    arrivals = random.Random(seed)
+    world.start()
+    for _ in range(10):
+        world.step()
+    begin = world.clock.time
+    flood = sorted(begin + 10 * arrivals.random() for _ in range(FLOOD_JOBS))
+    urgent = [begin + URGENT_EVERY_S * (number + arrivals.random()) for number in range(URGENT_JOBS)]
+    # Both teams' classes are dealt out by the load's own random numbers, so that with and without it is the same load.
+    plan = sorted([(at, "red") for at in flood] + [(at, "green") for at in urgent])
+    shapes = [(arrivals.randint(1, 5), arrivals.choice(("train", "index"))) for _ in plan]
+    ended_at: dict[str, float] = {}
+    before = world.store.epoch
+    while len(world.submitted_at) < len(plan) or len(ended_at) < len(plan):
+        while len(world.submitted_at) < len(plan) and plan[len(world.submitted_at)][0] <= world.clock.time:
+            number = len(world.submitted_at)
+            submit_one(world, number, plan[number][1], *shapes[number])
+        world.step()
+        for name in world.sizes.keys() - ended_at.keys():
+            if world.store.tables.over.get(name) is not None:
+                ended_at[name] = world.clock.time
+        if world.clock.time > begin + 1500:
+            break
+    outcome = Outcome(changes=world.store.epoch - before, longest_head_s=world.longest_as_head_s)
+    outcome.unfinished = len(plan) - len(ended_at)
+    for name, at in world.started_at.items():
+        waits = outcome.urgent_ms if world.specs[name].team == "green" else outcome.flood_ms
+        waits.append(int(1000 * (at - world.submitted_at[name])))
+    outcome.in_time = sum(at - world.submitted_at[name] <= DUE_S for name, at in ended_at.items()) / len(plan)
+    root = world.store.tables.admission.get(ROOT)
+    outcome.epochs = root.number if root is not None else 0
+    return outcome
+
+
+def submit_one(world: LoadWorld, number: int, team: str, visits: int, klass: str) -> None:
+    """A user submits the next job."""
+    urgency = "urgent" if team == "green" else "best_effort"
+    name = f"wk-{number:06d}"
+    visits = min(visits, 2) if team == "green" else visits
+    job = spec(name, crew=team, roster=klass, visits=visits, urgency=urgency, expectedS=12.0, pullGb=0.1, dueS=DUE_S)
+    world.submitted_at[name] = world.clock.time
+    world.submit(world.nodes[world.members[number % len(world.members)]], job)
+
+
+def histogram(waits_ms: list[int]) -> Any:
+    """Waits in a histogram of the library."""
+    from hdrh.histogram import HdrHistogram
+
+    found = HdrHistogram(1, LONGEST_MS, 3)
+    for wait_ms in waits_ms:
+        found.record_value(max(1, wait_ms))
+    return found
+
+
+def report(found: dict[str, list[Outcome]], path: str) -> None:
+    """A page with the waits of both loads, with and without."""
+    import plotly.graph_objects as graph
+
+    figure: Any = graph.Figure()
+    for mode, outcomes in found.items():
+        for title, field_name in (("flood", "flood_ms"), ("urgent", "urgent_ms")):
+            waits = histogram([wait for each in outcomes for wait in getattr(each, field_name)])
+            shares = [*range(0, 100, 2), 99, 99.9, 100]
+            seconds = [waits.get_value_at_percentile(share) / 1000 for share in shares]
+            figure.add_scatter(x=shares, y=seconds, name=f"{title}, {mode}", mode="lines")
+    figure.update_layout(
+        title="Wait from submission to the first start (simulated)", xaxis_title="percentile", yaxis_title="seconds"
+    )
+    figure.write_html(path, include_plotlyjs=True)
+
+
+def main(first: int, last: int, path: str) -> None:
+    """Prints each seed's two runs and the means with their spread, and writes the page."""
+    found: dict[str, list[Outcome]] = {"without": [], "with admission": []}
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        follow_newest_world(monkeypatch)
+        for seed in range(first, last):
+            for mode, outcomes in found.items():
+                outcomes.append(load(seed, mode != "without"))
+                print(seed, mode, summary(outcomes[-1:]))
+    for mode, outcomes in found.items():
+        print(f"all, {mode}: {summary(outcomes)}")
+        for name in ("in_time", "changes", "epochs", "longest_head_s", "unfinished"):
+            values = [float(getattr(outcome, name)) for outcome in outcomes]
+            print(f"  {name:14} {statistics.mean(values):8.2f}  {min(values):8.2f} to {max(values):8.2f}")
+    report(found, path)
+
+
+def summary(outcomes: list[Outcome]) -> str:
+    """Waits of several runs together."""
+    texts: list[str] = []
+    for title, waits_ms in (
+        ("flood", [wait for each in outcomes for wait in each.flood_ms]),
+        ("urgent", [wait for each in outcomes for wait in each.urgent_ms]),
+    ):
+        waits = histogram(waits_ms)
+        values = [waits.get_value_at_percentile(share) / 1000 for share in (50, 99, 100)]
+        texts.append(
+            f"{title} {len(waits_ms)} started, wait 50/99/100%: {'/'.join(f'{each:.1f}' for each in values)} s"
+        )
+    return "; ".join(texts)
+
+
+def scale() -> None:
+    """A tick and an epoch with many deferred jobs and machines, with and without admission in one run."""
+
+    def timed(title: str, call: Callable[[], Any]) -> None:
+        best = min(_seconds(call) for _ in range(5))
+        print(f"{title:46} {1000 * best:9.1f} ms, the best of five")
+
+    world = FleetWorld(MACHINES)
+    world.take_over()
+    world.store_all()
+    wall_ms = int(1000 * world.clock.time)
+    for number in range(DEFERRED_JOBS):
+        job = spec(job_name(500_000 + number), roster=f"class-{number % 16}")
+        value = {"s": t.LIVE, "n": job.tasks, "t": wall_ms + number, "spec": msgspec.to_builtins(job)}
+        world.store.put(t.job_key(job.id), value)
+    timed("tick without admission", world.tick)
+    row = AdmissionRow().raised(LaneCut(Ticket(wall_ms - 1, ""), wall_ms), {}, {})
+    world.store.put(t.admission_key(ROOT), row.stored())
+    gate = AdmissionGate(world.store.tables, DecisionLog(), lambda: True)
+    world.machines.gate = gate
+    print(f"first tick with admission {1000 * _seconds(world.tick):30.1f} ms")
+    timed("tick with admission", world.tick)
+    limits = AdmissionLimits.of(world.settings)
+    later_ms = wall_ms + int(1000 * limits.patience_s) + DEFERRED_JOBS
+
+    def reckon() -> list[epochs.RowChange]:
+        return epochs.next_rows(world.store.tables, world.settings, limits, [], later_ms, world.client.value_bytes)
+
+    timed("an epoch", reckon)
+    (change,) = reckon()
+
+    def applied() -> None:
+        world.store.put(t.admission_key(change.path), change.rows[change.path].stored())
+        world.tick()
+
+    print(f"tick that applies an epoch {1000 * _seconds(applied):29.1f} ms")
+    print(f"memory {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:.0f} MB, tests and world included")
+
+
+def _seconds(call: Callable[[], Any]) -> float:
+    started = time.perf_counter()
+    call()
+    return time.perf_counter() - started
+
+
+if __name__ == "__main__":
+    if sys.argv[1:] == ["scale"]:
+        scale()
+    else:
+        main(int(sys.argv[1]), int(sys.argv[2]), sys.argv[3])
--- a/tests/test_admission_world.py
+++ b/tests/test_admission_world.py
@@ -7,9 +7,8 @@
 
 import pytest
 
-from sloeswitch.admission import decisions
 from sloeswitch.admission.cuts import AdmissionRow, Lane, LaneCut
-from sloeswitch.admission.decisions import Decision, Ground
+from sloeswitch.admission.decisions import CutReader, Decision, Ground
 from sloeswitch.admission.epoch import Epoch
 from sloeswitch.core.tables import Job
 from tests.support.admission import AdmissionWorld, play
@@ -32,17 +31,17 @@
 
 
 def test_a_controller_that_goes_by_its_own_queue_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
-    decide = decisions.decide_by_cut
+    decide = CutReader.decide
     calls = 0
 
-    def by_own_queue(job: Job, rows: Mapping[str, AdmissionRow]) -> Decision:
+    def by_own_queue(reader: CutReader, job: Job) -> Decision:
         nonlocal calls
         calls += 1
-        decision = decide(job, rows)
+        decision = decide(reader, job)
         admits = decision.ground is Ground.DEFERRED and decision.row is not None and calls % 5 == 0
-        return replace(decision, ground=Ground.CUT) if admits else decision
+        return decision._replace(ground=Ground.CUT) if admits else decision
 
-    monkeypatch.setattr(decisions, "decide_by_cut", by_own_queue)
+    monkeypatch.setattr(CutReader, "decide", by_own_queue)
     with pytest.raises(AssertionError, match="decisions differ"):
         play(2, STEPS, CALM_STEPS, JOBS)
 
