--- a/tests/test_features.py
+++ b/tests/test_features.py
@@ -71,6 +71,28 @@
     assert any(fault in line for line in error.value.faults), error.value.faults
 
 
+@pytest.mark.parametrize(
+    ("text", "deferring"), [("[admission]", True), ("[admission]\ndeferring = false", False), (FEATURES, None)]
+)
+def test_the_admission_section_turns_deferring_on(with_classes: Settings, text: str, deferring: bool | None) -> None:
+    admission = parse(text, with_classes).admission
+    assert (admission.deferring if admission is not None else None) is deferring
+
+
+@pytest.mark.parametrize(
+    ("text", "fault"),
+    [
+        ("[admission]\ndeferring = 1", "admission.deferring: must be true or false"),
+        ("[admission]\ndefering = true", "admission.defering: unknown field"),
+        ("admission = 3", "admission"),
+    ],
+)
+def test_faults_of_the_admission_section_are_named(with_classes: Settings, text: str, fault: str) -> None:
+    with pytest.raises(SettingsError) as error:
+        parse(text, with_classes)
+    assert any(fault in line for line in error.value.faults), error.value.faults
+
+
 def test_a_peer_named_twice_is_refused(with_classes: Settings) -> None:
     again = '[[cells.peers]]\nname = "south"\naddresses = ["127.0.0.1:9"]\n'
     with pytest.raises(SettingsError) as error:
