--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 import pytest
+from anyio.streams.stapled import StapledObjectStream
 
 from sloeswitch import wire
 from sloeswitch.admission import compare, cuts
@@ -16,17 +17,19 @@
 from sloeswitch.admission.coordinator import AdmissionCoordinator
 from sloeswitch.admission.cuts import AdmissionRow, Lane, LaneCut, Ticket, row_of
 from sloeswitch.admission.decisions import Ground, decide, lane_of
-from sloeswitch.admission.frames import pack_idle_room, unpack_idle_room
+from sloeswitch.admission.frames import MeshIdleRoomLink, pack_idle_room, unpack_idle_room
 from sloeswitch.admission.gate import AdmissionGate
 from sloeswitch.admission.idle_room import IdleRoomTracker
 from sloeswitch.admission.limits import LONGEST_WAIT_S, AdmissionLimits
 from sloeswitch.cli import main
 from sloeswitch.core import ready
 from sloeswitch.core import tables as t
+from sloeswitch.core.cancellations import Cancellations
 from sloeswitch.core.placement import Room
 from sloeswitch.features import AdmissionFeatures
-from sloeswitch.mesh import FrameError
-from sloeswitch.settings import Settings, parse
+from sloeswitch.frame_link import FrameLink, NoAnswerError
+from sloeswitch.mesh import TYPE_IDLE_ROOM_REQUEST, FrameError, Known, Mesh
+from sloeswitch.settings import Address, Settings, parse
 from sloeswitch.wire import MachineType
 from tests.conftest import MACHINE_TYPE, Store, spec
 from tests.support.admission import RecordingLog, cluster_text
@@ -630,3 +633,102 @@
         with pytest.raises(SystemExit) as stopped:
             main(arguments)
         assert stopped.value.code == 2
+
+
+# -- the coordinator's questions
+
+
+def test_a_sibling_is_asked_over_the_mesh_and_answers_only_where_the_feature_is_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    told = [IdleRoom(("small", "a", True), 0.5, 4.0)]
+
+    async def answer(_kind: int, _body: bytes) -> bytes:
+        return pack_idle_room(told)
+
+    async def run() -> None:
+        mesh = Mesh((), 1.0, lambda: 0.0, lambda: Known(1, True, 1, True, True), Cancellations(1, 1), lambda _: None)
+        async with anyio.create_task_group() as group:
+
+            async def connect(host: str, port: int) -> Any:
+                there_send, here_receive = anyio.create_memory_object_stream[bytes](9)
+                here_send, there_receive = anyio.create_memory_object_stream[bytes](9)
+                stream: Any = StapledObjectStream(there_send, there_receive)
+                group.start_soon(mesh.serve, stream)
+                return StapledObjectStream(here_send, here_receive)
+
+            monkeypatch.setattr(anyio, "connect_tcp", connect)
+            link = MeshIdleRoomLink(FrameLink("c1", (Address("peer", 1),), 5.0))
+            with pytest.raises(NoAnswerError):
+                await link.idle_room()
+            mesh.handlers[TYPE_IDLE_ROOM_REQUEST] = answer
+            assert await link.idle_room() == told
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+class ScriptedLink:
+    """A sibling that tells one room, or does not answer."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+        self.rooms: list[IdleRoom] | None = [IdleRoom(("small", "a", True), 2.0, 1.0)]
+
+    async def idle_room(self) -> list[IdleRoom]:
+        self.asked += 1
+        if self.rooms is None:
+            raise NoAnswerError("lost")
+        return self.rooms
+
+
+def test_only_the_coordinator_asks_and_what_it_heard_is_soon_too_old(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world, each = overloaded_world(store, monkeypatch)
+    link = ScriptedLink()
+    each.links = {"c1": link}
+    anyio.run(each.ask, "c1")
+    later(world, each.limits.epoch_s)
+    assert [room.age_s for room in each._idle_rooms()] == [1.0 + each.limits.epoch_s]
+    link.rooms = None
+    with pytest.raises(NoAnswerError):
+        anyio.run(each.ask, "c1")
+    later(world, 3 * each.limits.epoch_s)
+    assert each._idle_rooms() == []
+    store.put(t.COORD, {"member": "c1", "boot": 9})
+    anyio.run(each.ask, "c1")
+    assert link.asked == 2
+
+
+def test_before_every_controller_knows_the_feature_nothing_is_asked_stored_or_deferred(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    _world, each = overloaded_world(store, monkeypatch)
+    store.put(t.feature_key("admission"), {"seen": ["c0"], "complete": False})
+    link = ScriptedLink()
+    each.links = {"c1": link}
+    before = store.epoch
+    anyio.run(each.ask, "c1")
+    anyio.run(each.epoch)
+    assert not each.switched_on and link.asked == 0 and store.epoch == before
+    store.upgraded()
+    anyio.run(each.feature.mark)
+    assert not each.switched_on, "c1 has not run with it"
+
+
+def test_deferred_jobs_may_move_to_another_cell_behind_the_line(store: Store) -> None:
+    world = World(store)
+    store.job(spec("wk-000001"))
+    store.job(spec("wk-000002"))
+    store.tables.jobs["wk-000001"].deferred = True
+    world.machines._line_up()
+
+    def names(jobs: list[t.Job]) -> list[str]:
+        # Having waited for long, it stands in the line twice.
+        return list(dict.fromkeys(job.spec.id for job in jobs))
+
+    assert names(world.machines.line) == ["wk-000002"]
+    assert names(world.machines.waiting_jobs()) == ["wk-000002"], "no gate, no deferred jobs"
+    world.machines.gate = AdmissionGate(store.tables, RecordingLog([]), lambda: True)
+    assert names(world.machines.waiting_jobs()) == ["wk-000002", "wk-000001"]
