--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -14,6 +14,7 @@
 import sys
 import time
 from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -38,6 +39,7 @@
 URGENT_EVERY_S = 20.0
 DUE_S = 120.0
 LONGEST_MS = 3_600_000
+WITHOUT, WITH = "without", "with admission"
 DEFERRED_JOBS = 10_000
 MACHINES = 4_000
 
@@ -141,15 +143,21 @@
     figure.write_html(path, include_plotlyjs=True)
 
 
-def main(first: int, last: int, path: str) -> None:
-    """Prints each seed's two runs and the means with their spread, and writes the page."""
-    found: dict[str, list[Outcome]] = {"without": [], "with admission": []}
+def play(seed: int, mode: str) -> Outcome:
+    """One run, in a process of its own."""
     with pytest.MonkeyPatch.context() as monkeypatch:
         follow_newest_world(monkeypatch)
-        for seed in range(first, last):
-            for mode, outcomes in found.items():
-                outcomes.append(load(seed, mode != "without"))
-                print(seed, mode, summary(outcomes[-1:]))
+        return load(seed, mode != WITHOUT)
+
+
+def main(first: int, last: int, path: str) -> None:
+    """Prints each seed's two runs and the means with their spread, and writes the page."""
+    runs = [(seed, mode) for seed in range(first, last) for mode in (WITHOUT, WITH)]
+    found: dict[str, list[Outcome]] = {WITHOUT: [], WITH: []}
+    with ProcessPoolExecutor() as pool:
+        for (seed, mode), outcome in zip(runs, pool.map(play, *zip(*runs, strict=True)), strict=True):
+            found[mode].append(outcome)
+            print(seed, mode, summary([outcome]))
     for mode, outcomes in found.items():
         print(f"all, {mode}: {summary(outcomes)}")
         for name in ("in_time", "changes", "epochs", "longest_head_s", "unfinished"):
