--- a/tests/support/overload.py
+++ b/tests/support/overload.py
@@ -40,6 +40,7 @@
 URGENT_EVERY_S = 20.0
 DUE_S = 120.0
 TRIES = 10
+WORKERS = 4
 # The flood's team may use more than there is, so that room is what is short and not its limit.
 FLOODED = {**TEAMS, "red": (8.0, 64.0)}
 LONGEST_MS = 3_600_000
@@ -161,7 +162,7 @@
     """Prints each seed's two runs and the means with their spread, and writes the page."""
     runs = [(seed, mode) for seed in range(first, last) for mode in (WITHOUT, WITH)]
     found: dict[str, list[Outcome]] = {WITHOUT: [], WITH: []}
-    with ProcessPoolExecutor() as pool:
+    with ProcessPoolExecutor(WORKERS) as pool:
         for (seed, mode), outcome in zip(runs, pool.map(play, *zip(*runs, strict=True)), strict=True):
             found[mode].append(outcome)
             print(seed, mode, summary([outcome]))
