--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -6,5 +6,14 @@
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-for module in ("run", "sloeswitch.controller", "sloeswitch.cells.link", "anyio._backends._asyncio", "uvloop"):
+for module in (
+    "run",
+    "sloeswitch.controller",
+    "sloeswitch.cells.link",
+    "sloeswitch.admission.coordinator",
+    "sloeswitch.admission.gate",
+    "sloeswitch.admission.idle_room",
+    "anyio._backends._asyncio",
+    "uvloop",
+):
     importlib.import_module(module)
--- a/sloeswitch/admission/gate.py
+++ b/sloeswitch/admission/gate.py
@@ -7,7 +7,7 @@
 from sloeswitch.admission.cuts import AdmissionRow, Lane
 from sloeswitch.admission.decision_log import DecisionLog
 from sloeswitch.admission.decisions import CutReader, Decision, Ground, decide, lane_of
-from sloeswitch.core.tables import Tables
+from sloeswitch.core.tables import Job, Tables
 
 
 class AdmissionGate:
@@ -22,8 +22,8 @@
         self.log = log
         self.switched_on = switched_on
         self._rows: Mapping[str, AdmissionRow] | None = None
-        # By job, and the job's object: the tables make new ones when they are read afresh.
-        self._decided: dict[str, tuple[int, Decision]] = {}
+        # With the job itself: the tables make new ones when they are read afresh. Its id alone may come again.
+        self._decided: dict[str, tuple[Job, Decision]] = {}
         # Jobs that are deferred by their own cut, by lane, with the cut.
         self._deferred: dict[Lane, set[str]] = {}
         self._cuts: dict[Lane, tuple[str | None, tuple[int, str]]] = {}
@@ -42,12 +42,20 @@
         decided = self._decided
         names |= {
             name for name, job in self.tables.jobs.items()
-            if (known := decided.get(name)) is None or known[0] != id(job)
+            if (known := decided.get(name)) is None or known[0] is not job
         }  # fmt: skip
         if names:
             self._decide(names | self._dependents(names))
         if len(decided) > 2 * len(self.tables.jobs) + 1:
-            self._decided = {name: known for name, known in decided.items() if name in self.tables.jobs}
+            self._forget_over()
+
+    def _forget_over(self) -> None:
+        """Forgets jobs that are over."""
+        jobs = self.tables.jobs
+        self._decided = {name: known for name, known in self._decided.items() if name in jobs}
+        self._deferred = {lane: names & jobs.keys() for lane, names in self._deferred.items()}
+        self._deferred = {lane: names for lane, names in self._deferred.items() if names}
+        self._cuts = {lane: cut for lane, cut in self._cuts.items() if lane in self._deferred}
 
     def _of_changed_lanes(self) -> set[str]:
         """Deferred jobs of lanes whose cut rose. With thousands of them most lanes stand still in an epoch."""
@@ -86,7 +94,7 @@
             before = self._decided.get(name)
             if before is None or before[1].ground is not decision.ground:
                 self.log.decision(name, decision)
-            self._decided[name] = (id(job), decision)
+            self._decided[name] = (job, decision)
             job.deferred = not decision.admitted
             deferred = self._deferred.setdefault(lane_of(job.spec), set())
             (deferred.add if job.deferred else deferred.discard)(name)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -550,6 +550,19 @@
     assert line_of(cluster) == ["wk-000000"]
 
 
+def test_jobs_that_are_over_are_forgotten() -> None:
+    cluster = Cluster()
+    names = cluster.overload(50)
+    gate = gated(cluster, [], [True])
+    gate.apply()
+    assert sum(map(len, gate._deferred.values())) == 50
+    for name in names[:40]:
+        cluster.store.put(t.job_key(name), {"s": t.WITHDRAWN, "n": 1, "t": cluster.now_ms})
+    gate.apply()
+    assert len(gate._decided) == len(cluster.store.tables.jobs) == 11
+    assert sum(map(len, gate._deferred.values())) == 10
+
+
 # -- idle room
 
 
