--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -376,6 +376,18 @@
     assert cluster.admitted() == ["wk-000000", "wk-000001", "wk-000002"]
 
 
+def test_room_of_a_type_that_a_job_does_not_fit_is_no_budget_for_it() -> None:
+    """Reckoned by cores alone it would be, and the job would stand in a line in which it can't start."""
+    cluster = Cluster(machines=4)
+    cluster.machines("large", 1)
+    cluster.after_lead()
+    cluster.submit("wk-000000", at_ms=START_MS, visits=100, builds=["large"])
+    cluster.submit("wk-000001", builds=["large"])
+    cluster.submit("wk-000002", crew="blue", builds=["large"])
+    cluster.epoch()
+    assert cluster.admitted() == ["wk-000000"]
+
+
 def test_room_that_an_owner_tells_is_budget_once_it_is_old_enough() -> None:
     """The rows don't tell of it: what is admitted can't use it, for faults or allowances."""
     cluster = Cluster()
@@ -543,11 +555,16 @@
     cluster.overload(2)
     gate = gated(cluster, [], [True])
     gate.apply()
+    cluster.later(cluster.limits.patience_s)
+    cluster.epoch()
+    gate.apply()
+    assert line_of(cluster) == ["wk-000000", "wk-000001"]
     cluster.store.tables.clear()
     for key, (value, stamp) in cluster.store.rows.items():
         cluster.store.tables.apply(key, value, stamp)
+    # No cut is another one, and yet each job is.
     gate.apply()
-    assert line_of(cluster) == ["wk-000000"]
+    assert line_of(cluster) == ["wk-000000", "wk-000001"]
 
 
 def test_jobs_that_are_over_are_forgotten() -> None:
