--- a/sloeswitch/admission/backlog.py
+++ b/sloeswitch/admission/backlog.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from sloeswitch.admission.capacity import Capacity
+from sloeswitch.admission.capacity import SPREAD_ADMITTED, Capacity
 from sloeswitch.admission.cuts import AdmissionRow, Lane, LaneCut, Ticket, row_of
 from sloeswitch.admission.decisions import Decision, ancestors, lane_of, ticket_of
 from sloeswitch.core import fleet
@@ -38,17 +38,16 @@
 
     def fits(self, capacity: Capacity) -> bool:
         """Whether each of its released jobs could put some of what is left to use: a gang only with all its tasks."""
-        return all(
-            capacity.tasks_that_fit(job.spec, job.spec.tasks if job.spec.gang else 1) >= (
-                job.spec.tasks if job.spec.gang else 1
-            )
-            for job in self.released
-        )  # fmt: skip
+        for job in self.released:
+            least = job.spec.tasks if job.spec.gang else 1
+            if capacity.tasks_that_fit(job.spec, least) < least:
+                return False
+        return True
 
     def take(self, capacity: Capacity, settings: Settings, wall_ms: int) -> None:
         """Takes what should run at once."""
         for job in self.released:
-            capacity.take(job.spec, fleet.whole_or_at_once(job, settings, wall_ms, 1.0))
+            capacity.take(job.spec, fleet.whole_or_at_once(job, settings, wall_ms, SPREAD_ADMITTED))
 
 
 @dataclass
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,6 @@
 import anyio
 import msgspec
 import pytest
-from anyio.streams.stapled import StapledObjectStream
 
 from sloeswitch import wire
 from sloeswitch.admission import compare, cuts
@@ -33,6 +32,7 @@
 from sloeswitch.wire import MachineType
 from tests.conftest import MACHINE_TYPE, Store, spec
 from tests.support.admission import RecordingLog, cluster_text
+from tests.support.streams import connect_to
 from tests.test_actors import World
 
 START_MS = 1_000_000
@@ -696,11 +696,7 @@
         async with anyio.create_task_group() as group:
 
             async def connect(host: str, port: int) -> Any:
-                there_send, here_receive = anyio.create_memory_object_stream[bytes](9)
-                here_send, there_receive = anyio.create_memory_object_stream[bytes](9)
-                stream: Any = StapledObjectStream(there_send, there_receive)
-                group.start_soon(mesh.serve, stream)
-                return StapledObjectStream(here_send, here_receive)
+                return connect_to(mesh, group)
 
             monkeypatch.setattr(anyio, "connect_tcp", connect)
             link = MeshIdleRoomLink(FrameLink("c1", (Address("peer", 1),), 5.0))
--- a/tests/test_cells_world.py
+++ b/tests/test_cells_world.py
@@ -8,7 +8,6 @@
 
 import anyio
 import pytest
-from anyio.streams.stapled import StapledObjectStream
 
 from sloeswitch import wire
 from sloeswitch.actors.users import Users
@@ -28,6 +27,7 @@
 from tests.conftest import spec, submission
 from tests.support.cells import Cell, CellWorld, RuleError, play, settings_cache
 from tests.support.seeds import follow_newest_world
+from tests.support.streams import connect_to
 
 JOB = "wk-000001"
 
@@ -368,11 +368,7 @@
                 asked.append(port)
                 if port == 1:
                     raise OSError("refused")
-                there_send, here_receive = anyio.create_memory_object_stream[bytes](9)
-                here_send, there_receive = anyio.create_memory_object_stream[bytes](9)
-                stream: Any = StapledObjectStream(there_send, there_receive)
-                group.start_soon(mesh.serve, stream)
-                return StapledObjectStream(here_send, here_receive)
+                return connect_to(mesh, group)
 
             monkeypatch.setattr(anyio, "connect_tcp", connect)
             link = MeshLink("north", PeerCell("south", (Address("peer", 1), Address("peer", 2))), 5.0)
