Log lines on quotas: changes of allocations, recovery, foreign attempts, usage above them

Now logged: each change of a team's allocations with before, after, reasons, view and revision, also where the state service did not answer; the moment a view is recovered; attempts that a machine reports and that may not go on, one line a report that shows new ones; a warning, once each time, where a team uses more than this controller's stored allocation while its adoptions are stored; and at debug the usage and the allocation by which tasks were placed.

No behaviour changes. A line per transaction that moves allocations and per take-over report, none per task at info.

--- a/sloeswitch/actors/heartbeat_handler.py
+++ b/sloeswitch/actors/heartbeat_handler.py
@@ -11,6 +11,7 @@
 from sloeswitch import wire
 from sloeswitch.actors.commands import CommandSender
 from sloeswitch.actors.machine_ownership import MachineOwnership
+from sloeswitch.actors.quota_log import log_foreign
 from sloeswitch.actors.shard_state import ShardState
 from sloeswitch.actors.task_placement import TaskPlacement
 from sloeswitch.core.machine import Machine
@@ -151,6 +152,8 @@
             log.info("task failed: task=%s machine=%s", wire.task_name(job, index), name)
             if not was_quarantined and self.health.is_machine_quarantined(name):
                 log.info("machine quarantined: machine=%s", name)
+        if result.foreign:
+            log_foreign(machine.name, result.foreign, self.ownership.followed_view)
         for job, index in result.adopted:
             self.task_updates.record_adopted(job, index)
         self.task_updates.send()
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -17,6 +17,7 @@
 from sloeswitch.actors.garbage_collection import GarbageCollector
 from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.job_requests import CancelFailure, JobRequests, Submission
+from sloeswitch.actors.quota_log import log_row_changes
 from sloeswitch.actors.spec_chunks import transaction_values_bytes
 from sloeswitch.core.commit_planner import CommitLimits, CommitPlan, CommitSnapshot, plan_commit
 from sloeswitch.core.commit_schedule import CommitDelays, CommitSchedule
@@ -169,7 +170,9 @@
     async def _commit(self, plan: CommitPlan, priority: RequestPriority, acquired_changes: int) -> TransactionOutcome:
         """Commits the plan's transaction, and brings the tables to the state after it."""
         transaction = plan.transaction
+        view_number, planned_at = self.leadership.view.number, self.replica.applied_revision
         outcome, revision = await self.client.compare_and_swap(transaction, priority, acquired_changes=acquired_changes)
+        log_row_changes(plan.quota_changes, outcome, view_number, revision or planned_at)
         if outcome is TransactionOutcome.COMMITTED:
             self.replica.apply_own_write(revision, transaction.writes)
         else:
--- a/sloeswitch/actors/machine_ownership.py
+++ b/sloeswitch/actors/machine_ownership.py
@@ -21,6 +21,7 @@
         context = shard.context
         self.settings = context.settings
         self.tables = context.tables
+        self.replica = context.replica
         self.leadership = context.leadership
         self.now = context.clock.now
         self.registry = shard.registry
@@ -66,10 +67,11 @@
         self.quota.update_handed_off_usage()
         self.task_updates.begin_view(view.number)
         log.info(
-            "view applied: view=%d machines=%d unrecovered=%d",
+            "view applied: view=%d machines=%d unrecovered=%d revision=%d",
             view.number,
             len(self.registry.machines),
             sum(not machine.is_recovered for machine in self.registry.machines.values()),
+            self.replica.applied_revision,
         )
 
     def add_missing_machines(self, pending_removals: set[str]) -> None:
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -82,6 +82,8 @@
             context, self.registry, self.commands, self.termination.scale_in_urgently
         )
         self.summary_at = 0.0
+        # The last view whose complete recovery was logged.
+        self.recovery_logged_view = 0
         self.gang_preemption = GangPreemption(shard, self.commands.kill)
         self.task_placement = TaskPlacement(shard, self.gang_preemption)
         self.ownership = MachineOwnership(shard)
@@ -164,13 +166,23 @@
     def _update_accounting(self) -> None:
         """Forgets what the tables show by now: recovered tasks, failures of ended jobs, stored updates."""
         if self.tables.recovery_complete():
+            self._log_recovery()
             self.registry.handed_off_tasks.clear()
         self.registry.prune_handed_off(self.tables, self.leadership.incarnation_id)
         self.quota.update_handed_off_usage()
+        if self.registry.adoptions_stored(self.tables, self.leadership.incarnation_id):
+            self.quota.check_usage()
         for name in [name for name in self.health.jobs if name in self.tables.finished_jobs]:
             self.health.forget_job(name)
         self.task_updates.prune_stored()
 
+    def _log_recovery(self) -> None:
+        """Once for each view: claims and allocations of departed controllers are void from here on."""
+        view_number = self.leadership.view.number
+        if self.recovery_logged_view != view_number:
+            self.recovery_logged_view = view_number
+            log.info("recovery complete: view=%d revision=%d", view_number, self.replica.applied_revision)
+
     def _report_recovery(self) -> None:
         """Once all machines under the view have reported or are accounted for, the membership actor stores that."""
         if (
--- a/sloeswitch/actors/quota_ledger.py
+++ b/sloeswitch/actors/quota_ledger.py
@@ -11,6 +11,7 @@
 
 from sloeswitch.actors.context import ControllerContext
 from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.quota_log import log_overuse
 from sloeswitch.core import keys, quota
 from sloeswitch.core.machine_registry import MachineRegistry
 from sloeswitch.core.quota import ResourceAmount
@@ -28,6 +29,7 @@
         self.settings = context.settings
         self.client = context.client
         self.tables = context.tables
+        self.replica = context.replica
         self.leadership = context.leadership
         self.registry = registry
         # By team: decreases that are being stored, and since when its allocation has been larger than needed.
@@ -35,11 +37,14 @@
         self.surplus_since: dict[str, float] = {}
         # By team: what tasks use that may be somewhere, and are on no machine that reported (see the registry).
         self.handed_off_usage: dict[str, quota.ResourceUsage] = {}
+        # Teams that were seen to use more than the stored allocation, each logged once until it is over.
+        self.overusing_teams: set[str] = set()
 
     def reset(self) -> None:
         """Another incarnation of this controller begins: nothing is being stored."""
         self.pending_decreases.clear()
         self.surplus_since.clear()
+        self.overusing_teams.clear()
 
     def update_handed_off_usage(self) -> None:
         """Computes anew what tasks use whose machine is not known."""
@@ -66,6 +71,19 @@
             del self.pending_decreases[team]
         return ResourceAmount(cores, gpus)
 
+    def check_usage(self) -> None:
+        """Warns of teams that use more than the stored allocation; only meant while all adoptions are stored."""
+        incarnation_id = self.leadership.incarnation_id
+        for team in self.settings.teams:
+            usage, stored = self.usage(team), self.tables.quota_allocation(team, incarnation_id)
+            if usage.cores <= stored.cores + quota.ROUNDING_TOLERANCE and (
+                usage.gpus <= stored.gpus + quota.ROUNDING_TOLERANCE
+            ):
+                self.overusing_teams.discard(team)
+            elif team not in self.overusing_teams:
+                self.overusing_teams.add(team)
+                log_overuse(team, usage, stored, self.leadership.view.number, self.replica.applied_revision)
+
     def available(self, team: Team, usage: quota.ResourceUsage) -> ResourceAmount:
         """The most that the team could use here now: the allocation and what is allocated to nobody.
 
--- a/sloeswitch/actors/task_placement.py
+++ b/sloeswitch/actors/task_placement.py
@@ -9,6 +9,7 @@
 import logging
 
 from sloeswitch.actors.gang_preemption import GangPreemption
+from sloeswitch.actors.quota_log import format_amount
 from sloeswitch.actors.shard_state import ShardState
 from sloeswitch.core import placement, quota, taskset
 from sloeswitch.core.job_priority import STANDARD, effective_priority
@@ -166,7 +167,17 @@
         return tasks
 
     def _log_placed(self, job: Job, machines: list[str]) -> None:
-        log.debug("tasks placed: job=%s tasks=%d machines=%s", job.spec.id, len(machines), set(machines))
+        team = job.spec.team
+        log.debug(
+            "tasks placed: job=%s tasks=%d machines=%s team=%s usage=%s allocation=%s view=%d",
+            job.spec.id,
+            len(machines),
+            set(machines),
+            team,
+            format_amount(self.quota.usage(team)),
+            format_amount(self.quota.allocation(team)),
+            self.leadership.view.number,
+        )
         if job.spec.prerequisites and not job.progress.done:
             log.debug(
                 "pipeline stage started: job=%s since_ready_s=%.2f",
--- a/sloeswitch/core/commit_planner.py
+++ b/sloeswitch/core/commit_planner.py
@@ -14,7 +14,7 @@
 from sloeswitch import wire
 from sloeswitch.core import keys, taskset
 from sloeswitch.core.quota import ResourceAmount
-from sloeswitch.core.quota_changes import QuotaChanges, QuotaDecrease
+from sloeswitch.core.quota_changes import QuotaChanges, QuotaDecrease, QuotaRowChange
 from sloeswitch.core.records import Job, JobState, Progress
 from sloeswitch.core.row_codec import encode_finished_job, encode_job_links, encode_progress
 from sloeswitch.core.tables import Tables
@@ -98,6 +98,8 @@
     adoption_number: int
     # Jobs whose progress is larger than a value may be, and which are left out.
     oversized_jobs: Sequence[str]
+    # How the allocations of teams change with it.
+    quota_changes: Sequence[QuotaRowChange] = ()
 
 
 class _Adoption(NamedTuple):
@@ -153,7 +155,12 @@
         if self._relies_on_view and self._transaction.writes:
             self._transaction.conditions.update(self._snapshot.view_conditions)
         return CommitPlan(
-            self._transaction, self._granted, self._relies_on_view, self._adoption_number, self._oversized_jobs
+            self._transaction,
+            self._granted,
+            self._relies_on_view,
+            self._adoption_number,
+            self._oversized_jobs,
+            self._quota.row_changes(),
         )
 
     # -- adoptions of many jobs, and quota allocations
--- a/sloeswitch/core/machine_registry.py
+++ b/sloeswitch/core/machine_registry.py
@@ -94,11 +94,17 @@
         for machine in self.machines.values():
             if not machine.is_recovered:
                 return False
+        if not self.adoptions_stored(tables, incarnation_id):
+            return False
+        self.adopting.clear()
+        return True
+
+    def adoptions_stored(self, tables: Tables, incarnation_id: str) -> bool:
+        """Whether all tasks that were adopted so far are stored as this controller's claims, or done."""
         for job, tasks in self.adopting.items():
             record = tables.jobs.get(job)
             if record is not None and tasks & ~record.progress.done & ~record.progress.claims.get(incarnation_id, 0):
                 return False
-        self.adopting.clear()
         return True
 
     def pending_adoptions(self) -> dict[str, int]:
--- a/sloeswitch/core/quota_changes.py
+++ b/sloeswitch/core/quota_changes.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Set
+from collections.abc import Mapping, Sequence, Set
+from dataclasses import dataclass
+from enum import StrEnum
 from typing import NamedTuple
 
 from sloeswitch.core import keys, quota
@@ -29,6 +31,33 @@
 TeamAllocations = dict[str, ResourceAmount]
 
 
+class QuotaChangeReason(StrEnum):
+    """Why a team's allocations change, as logged."""
+
+    ADOPTION = "adoption"
+    INCREASE = "increase"
+    DECREASE = "decrease"
+    # A departed controller's allocation is dropped, since the recovery is complete.
+    DEPARTED = "departed"
+
+
+@dataclass(frozen=True)
+class QuotaRowChange:
+    """How a transaction changes the allocations of one team.
+
+    Attributes:
+        team: The team.
+        before: The stored allocations.
+        after: The allocations that are written.
+        reasons: Why, each once, in the order in which they were planned.
+    """
+
+    team: str
+    before: Mapping[str, ResourceAmount]
+    after: Mapping[str, ResourceAmount]
+    reasons: Sequence[QuotaChangeReason]
+
+
 class QuotaChanges:
     """The teams whose allocations one transaction touches, and their allocations after it."""
 
@@ -37,6 +66,7 @@
         self._incarnation_id = incarnation_id
         self._recovery_complete = recovery_complete
         self._allocations: dict[str, TeamAllocations] = {}
+        self._reasons: dict[str, list[QuotaChangeReason]] = {}
 
     def __len__(self) -> int:
         return len(self._allocations)
@@ -62,7 +92,7 @@
                 allocations = quota.transfer(
                     allocations, holder, self._incarnation_id, job.spec, (tasks & adopted).bit_count()
                 )
-        self._allocations[job.spec.team] = allocations
+        self._set(job.spec.team, allocations, QuotaChangeReason.ADOPTION)
 
     def increase(self, team: Team, wanted: ResourceAmount) -> None:
         """Raises this controller's allocation to what is wanted, as far as the team's limit has it."""
@@ -70,9 +100,8 @@
         # An adoption may have raised it since the request was made; only the requester knows when less will do.
         cores, gpus = allocations.get(self._incarnation_id, ResourceAmount())
         amount = ResourceAmount(max(wanted.cores, cores), max(wanted.gpus, gpus))
-        self._allocations[team.name] = quota.reallocate(
-            allocations, quota.team_limit(team), self._incarnation_id, amount
-        )
+        changed = quota.reallocate(allocations, quota.team_limit(team), self._incarnation_id, amount)
+        self._set(team.name, changed, QuotaChangeReason.INCREASE)
 
     def decrease(self, team: str, decrease: QuotaDecrease) -> None:
         """Lowers this controller's allocation, unless the team's row changed since the decrease was computed."""
@@ -81,7 +110,26 @@
         allocations = self._current(team)
         cores, gpus = allocations.get(self._incarnation_id, ResourceAmount())
         allocations[self._incarnation_id] = ResourceAmount(min(cores, decrease.cores), min(gpus, decrease.gpus))
+        self._set(team, allocations, QuotaChangeReason.DECREASE)
+
+    def _set(self, team: str, allocations: TeamAllocations, reason: QuotaChangeReason) -> None:
         self._allocations[team] = allocations
+        reasons = self._reasons.setdefault(team, [])
+        if reason not in reasons:
+            reasons.append(reason)
+
+    def row_changes(self) -> list[QuotaRowChange]:
+        """The teams whose stored allocations change, for the log."""
+        changes = []
+        for team, after in self._allocations.items():
+            before = self._tables.quota_allocations.get(team, {})
+            if after == before:
+                continue
+            reasons = list(self._reasons[team])
+            if before.keys() - after.keys() - {self._incarnation_id}:
+                reasons.append(QuotaChangeReason.DEPARTED)
+            changes.append(QuotaRowChange(team, before, after, reasons))
+        return changes
 
     def write_rows(self, transaction: Transaction, forced_rewrites: Set[str]) -> bool:
         """Adds the rows of teams whose allocations change, or are to be rewritten; returns whether there is any."""
--- a/sloeswitch/core/reconciliation.py
+++ b/sloeswitch/core/reconciliation.py
@@ -14,12 +14,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import NamedTuple
 
 from sloeswitch.core.machine import REPORTED_STATES, Attempt, AttemptKey, AttemptState, EndCause, Machine, TaskId
 from sloeswitch.core.machine_registry import MachineRegistry
+from sloeswitch.core.records import Job
 from sloeswitch.core.tables import Tables
-from sloeswitch.wire import JobSpec, MalformedError, ReportedTask, WorkerReport, split_task
+from sloeswitch.wire import MalformedError, ReportedTask, WorkerReport, split_task
 
 
 class ReceivedReport(NamedTuple):
@@ -45,6 +47,26 @@
     machine: str
 
 
+class ForeignReason(StrEnum):
+    """Why an attempt that is not known may not go on, as logged."""
+
+    UNKNOWN_JOB = "unknown-job"
+    DONE = "done"
+    # The task is on another machine of this controller.
+    PLACED = "placed"
+    UNCLAIMED = "unclaimed"
+    # The machine was accounted for without it.
+    LATE = "late"
+
+
+class ForeignAttempt(NamedTuple):
+    """A reported attempt that is stopped; the team is None and the cores are 0 where its job is not known."""
+
+    team: str | None
+    cores: float
+    reason: ForeignReason
+
+
 @dataclass
 class ReconcileResult:
     """What a report brought to light.
@@ -54,6 +76,7 @@
         done: Completed tasks; each is listed once, by the report that first shows its end.
         failed: Tasks that ended by a fault of the machine or of the job.
         adopted: Tasks of an earlier owner that are this controller's claims from now on.
+        foreign: Attempts that are stopped and that the report before did not show.
         capacity_freed: Whether something is free that was in use.
     """
 
@@ -61,6 +84,7 @@
     done: list[TaskOnMachine] = field(default_factory=list)
     failed: list[TaskOnMachine] = field(default_factory=list)
     adopted: list[TaskId] = field(default_factory=list)
+    foreign: list[ForeignAttempt] = field(default_factory=list)
     capacity_freed: bool = False
 
 
@@ -170,9 +194,10 @@
                 del machine.ended_attempts[key]
         if machine.cancelled_since is not None and all(a.kill_grace_s is None for a in machine.attempts.values()):
             machine.cancelled_since = None
+        known_foreign = set(machine.foreign_attempts)
         machine.foreign_attempts.clear()
         for job, index, item in self.unknown:
-            self._apply_unknown(job, index, item, is_first)
+            self._apply_unknown(job, index, item, is_first, known_foreign)
         return self.result
 
     def _classify(self, differing: list[ReportedTask], is_restarted: bool) -> None:
@@ -237,20 +262,27 @@
         elif cause in (EndCause.ERROR, EndCause.NO_SUCH_TASK):
             self.result.failed.append(TaskOnMachine(task, self.machine.name))
 
-    def _apply_unknown(self, job: str, index: int, item: ReportedTask, is_first: bool) -> None:
+    def _apply_unknown(
+        self, job: str, index: int, item: ReportedTask, is_first: bool, known_foreign: set[AttemptKey]
+    ) -> None:
         """A task on the machine that this controller did not start: an earlier owner did.
 
         Only the first report of a machine that was taken over can hold one to be adopted: later its machine was
         accounted for without it, so that it may have been started elsewhere.
         """
         state = REPORTED_STATES[item.state]
+        key = AttemptKey(item.task, item.attempt)
         if state == AttemptState.ENDED:
-            self._record_ended(AttemptKey(item.task, item.attempt), TaskId(job, index), item.cause)
+            self._record_ended(key, TaskId(job, index), item.cause)
             return
-        spec = self._adoptable_spec(job, index) if is_first else None
-        if spec is None:
-            self.machine.foreign_attempts[AttemptKey(item.task, item.attempt)] = None
+        record = self.tables.jobs.get(job)
+        reason = self._foreign_reason(record, index) if is_first else ForeignReason.LATE
+        if reason is not None or record is None:
+            self.machine.foreign_attempts[key] = None
+            if reason is not None and key not in known_foreign:
+                self.result.foreign.append(_foreign_attempt(record, reason))
             return
+        spec = record.spec
         now = self.received.received_at
         attempt = Attempt(job, index, item.attempt, spec, state, reported=True, placed_at=now)
         if state == AttemptState.RUNNING:
@@ -258,15 +290,24 @@
         self.registry.adopt_attempt(self.machine, attempt)
         self.result.adopted.append(attempt.task)
 
-    def _adoptable_spec(self, job: str, index: int) -> JobSpec | None:
-        """The job of a task that may go on here; None if it may not.
+    def _foreign_reason(self, record: Job | None, index: int) -> ForeignReason | None:
+        """Why a task may not go on here; None if it may.
 
         Not if it is done or nothing is known of its job, nor if stored claims say that it cannot be here: it is
         stopped rather than trusted.
         """
-        record = self.tables.jobs.get(job)
-        if record is None or index >= record.spec.tasks or record.progress.done >> index & 1:
-            return None
-        if self.registry.placed_tasks.get(job, 0) >> index & 1 or not record.progress.claimed_tasks() >> index & 1:
-            return None
-        return record.spec
+        if record is None or index >= record.spec.tasks:
+            return ForeignReason.UNKNOWN_JOB
+        if record.progress.done >> index & 1:
+            return ForeignReason.DONE
+        if self.registry.placed_tasks.get(record.spec.id, 0) >> index & 1:
+            return ForeignReason.PLACED
+        if not record.progress.claimed_tasks() >> index & 1:
+            return ForeignReason.UNCLAIMED
+        return None
+
+
+def _foreign_attempt(record: Job | None, reason: ForeignReason) -> ForeignAttempt:
+    if record is None:
+        return ForeignAttempt(None, 0.0, reason)
+    return ForeignAttempt(record.spec.team, record.spec.cores, reason)
--- /dev/null
+++ b/tests/test_quota_log.py
@@ -0,0 +1,96 @@
+"""Log lines about quotas: they say how allocations change, and what no allocation covers."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+
+from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.core import keys
+from sloeswitch.core.quota import ResourceAmount
+from tests.conftest import Store, report, spec
+from tests.support.single_controller import JOB, World, machine_up, running
+
+
+@pytest.fixture
+def world(store: Store, caplog: pytest.LogCaptureFixture) -> World:
+    caplog.set_level(logging.INFO)
+    world = World(store)
+    machine_up(world)
+    return world
+
+
+def logged(caplog: pytest.LogCaptureFixture, event: str) -> list[str]:
+    return [line for line in caplog.messages if line.startswith(event)]
+
+
+def test_a_change_of_allocations_is_logged_with_its_reasons(world: World, caplog: pytest.LogCaptureFixture) -> None:
+    world.store.upgraded()
+    world.store.member("c0", 1, settled=2)
+    world.store.job(spec())
+    world.store.progress(JOB, c1_9=0b11)
+    world.store.put(keys.team_key("red"), {"c1.9": [6.0, 0.0]})
+    world.tell_jobs(TaskUpdates(adopted={JOB: 0b01}, view_number=3))
+    world.round(ClaimRequest(quota_increases={"red": ResourceAmount(9.0)}))
+    assert logged(caplog, "quota allocations") == [
+        "quota allocations changed: team=red before=c1.9:6 after=c0.1:9,c1.9:4 reasons=adoption,increase view=3"
+        f" revision={world.store.epoch}"
+    ]
+    world.store.member("c0", 1, settled=3)
+    world.round(ClaimRequest(quota_increases={"red": ResourceAmount(12.0)}))
+    assert "before=c0.1:9,c1.9:4 after=c0.1:12 reasons=increase,departed" in caplog.messages[-1]
+
+
+def test_an_unanswered_change_of_allocations_is_logged(world: World, caplog: pytest.LogCaptureFixture) -> None:
+    world.client.lose_answers = 1
+    world.round(ClaimRequest(quota_increases={"red": ResourceAmount(9.0)}))
+    assert logged(caplog, "quota allocations") == [
+        f"quota allocations unanswered: team=red before=- after=c0.1:9 reasons=increase view=3"
+        f" revision={world.store.epoch}"
+    ]
+
+
+def test_the_complete_recovery_of_a_view_is_logged_once(world: World, caplog: pytest.LogCaptureFixture) -> None:
+    for _ in range(3):
+        world.machines._update_accounting()
+    assert logged(caplog, "recovery complete") == [f"recovery complete: view=3 revision={world.store.epoch}"]
+
+
+def test_foreign_attempts_of_a_machine_are_logged_when_first_reported(
+    world: World, caplog: pytest.LogCaptureFixture
+) -> None:
+    world.store.job(spec())
+    for sequence in (3, 4):
+        world.heartbeat(report(sequence, 3, (f"{JOB}/0", 5, "running"), (f"{JOB}/1", 5, "running")))
+    assert logged(caplog, "foreign attempts") == [
+        "foreign attempts found: machine=vm-1 attempts=2 cores=red:4 reasons=late:2 view=3"
+    ]
+
+
+def test_use_above_the_stored_allocation_is_warned_of_once_each_time(
+    world: World, caplog: pytest.LogCaptureFixture
+) -> None:
+    running(world)
+    for _ in range(2):
+        for cores in (1.0, 1.0, 8.0):
+            world.store.put(keys.team_key("red"), {"c0.1": [cores, 0.0]})
+            world.machines._update_accounting()
+    warnings = logged(caplog, "usage above the allocation")
+    assert len(warnings) == 2 and "team=red usage=2 allocation=1 view=3 revision=" in warnings[0]
+
+
+def test_use_by_adoptions_that_are_not_stored_is_not_warned_of(world: World, caplog: pytest.LogCaptureFixture) -> None:
+    running(world)
+    world.store.put(keys.team_key("red"), {"c0.1": [1.0, 0.0]})
+    world.machines.registry.adopting[JOB] = 0b10
+    world.machines._update_accounting()
+    assert not logged(caplog, "usage above the allocation")
+
+
+def test_the_right_to_start_is_logged_at_debug(world: World, caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.DEBUG)
+    running(world)
+    assert [line.partition(" team=")[2] for line in logged(caplog, "tasks placed")] == [
+        "red usage=2 allocation=8 view=3"
+    ]
