A random world of teams at their limits, and two tests that fail: adopted tasks uncovered

The new world of tests/support has three controllers, three teams at their limits with spells of surplus, controllers that stand still, end alone and all at once, and transactions that are planned and carried out while reports and views go on. Checked at every step: what exists on machines is within the limit; what a controller accounts for is within its stored allocation once its adoptions are stored; the allocations are within the limit.

--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -9,12 +9,13 @@
 
 import random
 from collections import Counter
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar, TypeVarTuple
 
 import anyio
 
 from sloeswitch import wire
+from sloeswitch.actors.machine_messages import HeartbeatRequest
 from sloeswitch.core import keys
 from sloeswitch.mesh_frames import HEADER, StatusFrame, StatusRequest
 from tests.conftest import SETTINGS, Store, spec
@@ -26,6 +27,9 @@
 
 MACHINES = 4
 
+Args = TypeVarTuple("Args")
+Result = TypeVar("Result")
+
 
 class World:
     """Time, what is stored, the workers, and the rules."""
@@ -69,7 +73,7 @@
         self.incarnations = 0
         self.nodes: dict[str, Node] = {name: self.new_node(name) for name in members}
         self.leases: dict[tuple[str, int], float] = {}
-        self.workers = [Worker(self, f"vm-{number}") for number in range(machines)]
+        self.workers = [self.new_worker(f"vm-{number}") for number in range(machines)]
         self.machines_made = len(self.workers)
         self.number = 0
         self.told: dict[str, float] = {}
@@ -80,6 +84,19 @@
         """A new process of a controller."""
         return Node(self, name)
 
+    def new_worker(self, name: str) -> Worker:
+        """A new machine."""
+        return Worker(self, name)
+
+    def run(self, call: Callable[[*Args], Awaitable[Result]], *args: *Args) -> Result:
+        """Runs a coroutine of an actor to its end."""
+        return anyio.run(call, *args)
+
+    def deliver(self, member: str, message: HeartbeatRequest) -> bool:
+        """A report reaches a controller; whether it was answered."""
+        self.run(self.nodes[member].machines.handle, message)
+        return True
+
     def coordinate(self) -> None:
         """What the coordinator does: a view of those whose lease lives, however that ended."""
         if self.outage:
@@ -124,7 +141,7 @@
         if worker is not None:
             self.happened["deleted"] += 1
             self.workers.remove(worker)
-            self.workers.append(Worker(self, f"vm-{self.machines_made}"))
+            self.workers.append(self.new_worker(f"vm-{self.machines_made}"))
             self.machines_made += 1
 
     def end_troubles(self) -> None:
@@ -141,7 +158,7 @@
 
     def cancel(self, job: str, node: Node) -> None:
         """A user cancels a job at one of the controllers."""
-        if node.replica.loaded and anyio.run(node.jobs.cancel, job) == wire.JobStatus.CANCELLED:
+        if node.replica.loaded and self.run(node.jobs.cancel, job) == wire.JobStatus.CANCELLED:
             self.told.setdefault(job, self.clock.time)
 
     def trouble(self, node: Node) -> None:
@@ -200,7 +217,7 @@
     def submit(self, node: Node, job: wire.JobSpec) -> bool:
         """A user submits a job; whether it is accepted. One that is not may be stored late all the same."""
         self.specs[job.id] = job
-        if not node.replica.loaded or anyio.run(node.jobs.submit, job) is None:
+        if not node.replica.loaded or self.run(node.jobs.submit, job) is None:
             return False
         self.sizes[job.id] = job.tasks
         return True
--- a/tests/support/cluster_node.py
+++ b/tests/support/cluster_node.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-import anyio
-
 from sloeswitch.actors.context import ControllerContext
 from sloeswitch.actors.jobs import ClaimRequest, Jobs, TaskUpdates
 from sloeswitch.actors.leadership import Leadership
@@ -27,6 +25,8 @@
 class Node:
     """One process of a controller."""
 
+    client_class = ClusterStateClient
+
     def __init__(self, world: World, name: str) -> None:
         self.world = world
         self.settings = parse(settings_text(name, world.members, world.text))
@@ -34,7 +34,7 @@
         self.refused = False
         self.log_position = 0
         self.tables = Tables(CancellationLog(50, world.rng.getrandbits(40) + 1))
-        self.client = ClusterStateClient(self.settings, lambda: len(world.members), clock.now)
+        self.client = self.client_class(self.settings, lambda: len(world.members), clock.now)
         self.client.node = self
         self.replica = ClusterReplica(self.client, self.tables, clock.now)
         self.replica.node = self
@@ -93,14 +93,18 @@
         self.world.leases[name, self.leadership.incarnation] = now
         self.leadership.lease_renewed_at = now
         self.read()
-        anyio.run(self.membership._write_member)
+        self.store_member()
+
+    def store_member(self) -> None:
+        """Stores the member row if it is not as it should be."""
+        self.world.run(self.membership._write_member)
 
     def tick(self) -> None:
         """A tick of the machines actor, and a transaction of the jobs actor with the claims that it asked for."""
         for message in self.inbox:
-            anyio.run(self.machines.handle, message)
+            self.world.run(self.machines.handle, message)
         self.inbox.clear()
-        anyio.run(self._commit, self._tick_machines())
+        self.world.run(self._commit, self._tick_machines())
         self.machines.claims.claim_in_flight = False
 
     def _tick_machines(self) -> list[ClaimRequest]:
--- a/tests/support/cluster_worker.py
+++ b/tests/support/cluster_worker.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING, Any
 
-import anyio
-
 from sloeswitch import wire
 from sloeswitch.actors.machine_messages import HeartbeatRequest
 
@@ -94,17 +92,14 @@
         if self.mute:
             self.target = rng.choice(world.members)
             return
-        if rng.random() < 0.1:
-            self.report_copies.append(report)
-        if self.report_copies and rng.random() < 0.1:
-            copy = self.report_copies.pop(rng.randrange(len(self.report_copies)))
-            message = HeartbeatRequest(report=copy, last_answer_received=False)
-            anyio.run(world.nodes[rng.choice(world.members)].machines.handle, message)
-            world.recorder.record("heartbeat copy", self.name, message.answer.status, message.answer.body)
+        self.send_copies(report)
         if rng.random() < 0.05:
             return  # never arrives
         message = HeartbeatRequest(report=report, last_answer_received=self.last_answer_received)
-        anyio.run(world.nodes[self.target].machines.handle, message)
+        if not world.deliver(self.target, message):
+            self.last_answer_received = False
+            self.target = rng.choice(world.members)
+            return
         answer, self.last_answer_received = message.answer, False
         world.answered[str(answer.status)] += 1
         world.recorder.record("heartbeat", self.name, self.target, answer.status, answer.body)
@@ -117,6 +112,17 @@
             delay = 0.0 if rng.random() < 0.8 else 5 * rng.random()
             self.answers_in_flight.append((world.clock.time + delay, sent, self.agent_epoch, answer.body))
 
+    def send_copies(self, report: wire.WorkerReport) -> None:
+        """Copies of some reports arrive late, at any controller."""
+        world, rng = self.world, self.world.rng
+        if rng.random() < 0.1:
+            self.report_copies.append(report)
+        if self.report_copies and rng.random() < 0.1:
+            copy = self.report_copies.pop(rng.randrange(len(self.report_copies)))
+            message = HeartbeatRequest(report=copy, last_answer_received=False)
+            if world.deliver(rng.choice(world.members), message):
+                world.recorder.record("heartbeat copy", self.name, message.answer.status, message.answer.body)
+
     def receive(self) -> None:
         now = self.world.clock.time
         for at, sent, session, body in [item for item in self.answers_in_flight if item[0] <= now]:
--- /dev/null
+++ b/tests/support/quota_world.py
@@ -0,0 +1,388 @@
+"""A cluster in which several teams are at their limits while their machines change owners.
+
+Three controllers all want more of every limit, with spells in which a team has hardly any work. Controllers stand
+still, end alone and all at once, and come back seconds later. A transaction is under way for a while, and reports come
+in and views change in the meantime: what was planned from one state of the tables is stored beside later changes.
+
+After each step, besides the rules of every cluster:
+- what exists on machines of a team is within its limit, whoever knows of it;
+- what a controller accounts for is within its stored allocation, once its adoptions are stored;
+- the stored allocations of a team are within its limit.
+
+    python3 -m tests.support.quota_world 1 201          # seeds 1 to 200
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.machine_messages import HeartbeatRequest
+from sloeswitch.core.quota import ROUNDING_TOLERANCE
+from sloeswitch.core.transaction import Transaction
+from sloeswitch.state_client import TransactionResult
+from tests.conftest import SETTINGS, spec
+from tests.support.cluster import Args, Result, World
+from tests.support.cluster_node import Node
+from tests.support.cluster_state import ClusterStateClient
+from tests.support.cluster_worker import Worker
+from tests.support.seeds import play_seeds
+
+MEMBERS = ("c0", "c1", "c2")
+TEAMS = ("red", "blue", "green")
+MACHINES = 10
+MAX_JOBS = 60
+STEPS = 1200
+# How likely something breaks in a step, and what.
+TROUBLE_SHARE = 0.015
+# How likely a team whose demand changes stops to submit jobs.
+QUIET_SHARE = 0.4
+TROUBLES = ("frozen",) * 4 + ("ended",) * 3 + ("all ended", "outage", "refused", "refused")
+# How long a message to or from the state service is under way, on average and in seconds.
+LATENCY_S = 0.2
+# How long a transaction waits for the write rate, on average and in seconds, before it is planned.
+RATE_WAIT_S = 1.5
+# How likely a running task ends in a step, and which part of the cluster's usual troubles of machines there are.
+TASK_END_SHARE = 0.02
+MACHINE_TROUBLE_SHARE = 0.3
+
+
+def _team(name: str) -> str:
+    return f'[[deployment.teams]]\nname = "{name}"\ncpus = 8.0\ncpus_max = 20.0\ngpus = 0.0\ngpus_max = 0.0\n'
+
+
+TEXT = SETTINGS.replace("[deployment.workers]", _team("blue") + _team("green") + "[deployment.workers]")
+
+
+class LaggingStateClient(ClusterStateClient):
+    """Transactions that a controller's actors commit are under way for a while, and so are their answers."""
+
+    node: QuotaNode
+
+    async def acquire_changes(self, changes: int, priority: Any) -> None:
+        """Waits for the write rate."""
+        await self.node.pause(RATE_WAIT_S)
+
+    async def compare_and_swap(
+        self,
+        transaction: Transaction,
+        priority: Any,
+        *,
+        leases: dict[str, int] | None = None,
+        acquired_changes: int = 0,
+    ) -> TransactionResult:
+        await self.node.pause(LATENCY_S)
+        result = await super().compare_and_swap(transaction, priority, leases=leases, acquired_changes=acquired_changes)
+        await self.node.pause(LATENCY_S)
+        return result
+
+
+class QuotaNode(Node):
+    """A controller that may stand still or be down, and whose transactions take time."""
+
+    world: QuotaWorld
+    client_class = LaggingStateClient
+
+    def __init__(self, world: QuotaWorld, name: str, down_until: float = 0.0) -> None:
+        super().__init__(world, name)
+        self.down_until = down_until
+        self.frozen_until = float("-inf")
+        # Reports that arrived while it stood still.
+        self.held: list[HeartbeatRequest] = []
+        self.background: set[asyncio.Task[None]] = set()
+        self.committing: asyncio.Task[None] | None = None
+        # Waits for the next transaction.
+        self.requests: list[ClaimRequest] = []
+        self.storing_member: asyncio.Task[None] | None = None
+
+    @property
+    def is_down(self) -> bool:
+        return self.world.clock.time < self.down_until
+
+    @property
+    def is_awake(self) -> bool:
+        return not self.is_down and self.world.clock.time >= self.frozen_until
+
+    async def pause(self, mean_s: float) -> None:
+        """Waits for a message to the state service; without end while this controller stands still."""
+        if asyncio.current_task() in self.background:
+            await self.world.wait_message(self, mean_s)
+
+    def start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Starts something that goes on beside the steps of the world."""
+        task = self.world.loop.create_task(work)
+        self.background.add(task)
+        return task
+
+    def end(self) -> None:
+        """The process ends."""
+        for task in self.background:
+            task.cancel()
+
+    def wake_up(self) -> None:
+        """Handles the reports that came while it stood still; their workers wait for no answer any more."""
+        for message in self.held:
+            self.world.run(self.machines.handle, message)
+        self.held.clear()
+
+    def renew(self) -> None:
+        if self.is_awake:
+            super().renew()
+
+    def store_member(self) -> None:
+        if self.storing_member is None or self.storing_member.done():
+            self.storing_member = self.start(self._store_member())
+
+    async def _store_member(self) -> None:
+        await self.membership._write_member()
+
+    def tick(self) -> None:
+        """A tick of the machines actor; the jobs actor begins a transaction unless one is under way."""
+        if not self.is_awake:
+            return
+        self.wake_up()
+        for message in self.inbox:
+            self.world.run(self.machines.handle, message)
+        self.inbox.clear()
+        requests = self._tick_machines()
+        for call, args in self.group.pending:
+            self.start(call(*args))
+        self.group.pending.clear()
+        self.deliver_messages()
+        self.requests += requests
+        if self.committing is None or self.committing.done():
+            requests, self.requests = self.requests, []
+            self.committing = self.start(self._commit_requests(requests))
+
+    def deliver_messages(self) -> None:
+        """The jobs actor takes updates at once; the membership actor stores the view that is recovered."""
+        while self.jobs._inbox:
+            updates = self.jobs._inbox.popleft()
+            assert isinstance(updates, TaskUpdates)
+            self.world.run(self.jobs.handle, updates)
+        while self.membership._inbox:
+            self.start(self.membership.handle(self.membership._inbox.popleft()))
+
+    async def _commit_requests(self, requests: list[ClaimRequest]) -> None:
+        for request in requests:
+            await self.jobs.handle(request)
+        await self.jobs._commit_round()
+        for request in requests:
+            self.machines.task_updates.withdraw_releases(request.granted)
+            self.machines.claims.claim_in_flight = False
+
+
+class QuotaWorker(Worker):
+    """A worker that keeps results: a task that is started again after it completed ends at once."""
+
+    def execute(self, order: Any) -> None:
+        if order.verb == "start" and order.task in self.world.finished:
+            self.tasks.setdefault((order.task, order.attempt), ("ended", "done"))
+            return
+        super().execute(order)
+
+
+class QuotaWorld(World):
+    """Time, what is stored, the workers, and the rules on quotas."""
+
+    def __init__(self, seed: int) -> None:
+        self.loop = asyncio.new_event_loop()
+        # Messages under way: when they arrive, whose they are, and what waits for them.
+        self.messages: list[tuple[float, QuotaNode, asyncio.Future[None]]] = []
+        super().__init__(seed, troubled=True, members=MEMBERS, machines=MACHINES, text=TEXT)
+        self.nodes: dict[str, QuotaNode]  # type: ignore[assignment]
+        self.task_ends = TASK_END_SHARE
+        # Teams that submit jobs now.
+        self.hungry = set(TEAMS)
+        self.limits = {name: team.cpus_max for name, team in self.nodes["c0"].settings.teams.items()}
+
+    # -- the event loop
+
+    def run(self, call: Callable[[*Args], Awaitable[Result]], *args: *Args) -> Result:
+        async def to_its_end() -> Result:
+            return await call(*args)
+
+        return self.loop.run_until_complete(to_its_end())
+
+    async def wait_message(self, node: QuotaNode, mean_s: float) -> None:
+        """Waits until a message of a controller has arrived, which takes a random time."""
+        arrived = self.loop.create_future()
+        self.messages.append((self.clock.time + self.rng.expovariate(1 / mean_s), node, arrived))
+        await arrived
+
+    def deliver_due(self) -> None:
+        """Messages arrive; those to a controller that stands still wait for it."""
+        due = [item for item in self.messages if item[0] <= self.clock.time and (item[1].is_awake or item[2].done())]
+        for item in due:
+            self.messages.remove(item)
+            if not item[2].done():
+                item[2].set_result(None)
+        self.run(asyncio.sleep, 0)
+        for node in self.nodes.values():
+            ended = [task for task in node.background if task.done()]
+            node.background.difference_update(ended)
+            for task in ended:
+                if not task.cancelled():
+                    task.result()
+
+    def close(self) -> None:
+        """Ends what is under way."""
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.run(asyncio.sleep, 0)
+        self.loop.close()
+
+    # -- what is in the world
+
+    def new_node(self, name: str) -> QuotaNode:
+        return QuotaNode(self, name)
+
+    def new_worker(self, name: str) -> Worker:
+        return QuotaWorker(self, name)
+
+    def restart(self, name: str) -> None:
+        """A controller ends, and comes back within seconds."""
+        self.nodes[name].end()
+        self.nodes[name] = QuotaNode(self, name, self.clock.time + 6 * self.rng.random())
+
+    def deliver(self, member: str, message: HeartbeatRequest) -> bool:
+        node = self.nodes[member]
+        if node.is_down:
+            return False
+        if not node.is_awake:
+            node.held.append(message)
+            return False
+        node.wake_up()
+        return super().deliver(member, message)
+
+    # -- steps
+
+    def happen(self, luck: float, node: Node) -> None:
+        rng = self.rng
+        if luck < TROUBLE_SHARE:
+            self.break_something(rng.choice(TROUBLES), self.nodes[node.settings.member])
+        elif luck < 0.025:
+            self.change_demand(rng.choice(TEAMS))
+        elif luck < 0.25 and self.hungry and len(self.sizes) - len(self.done) < MAX_JOBS:
+            self.number += 1
+            team = rng.choice(sorted(self.hungry))
+            cores = float(rng.randint(1, 2))
+            self.submit(node, spec(f"wk-{self.number:06d}", crew=team, visits=rng.randint(1, 12), cores=cores))
+        elif luck < 0.255 and self.sizes:
+            self.cancel(rng.choice(list(self.sizes)), node)
+        elif luck < 0.35:
+            self.ask_sibling(node)
+
+    def change_demand(self, team: str) -> None:
+        """A team that submits nothing submits jobs again; one that does may stop."""
+        if team not in self.hungry:
+            self.hungry.add(team)
+        elif self.rng.random() < QUIET_SHARE:
+            self.hungry.remove(team)
+
+    def break_something(self, kind: str, node: QuotaNode) -> None:
+        """A trouble begins; it ends by itself."""
+        self.happened[kind] += 1
+        until = self.clock.time + 10 * self.rng.random()
+        if kind == "frozen":
+            node.frozen_until = until + 2
+        elif kind == "ended":
+            self.restart(node.settings.member)
+        elif kind == "all ended":
+            for name in self.members:
+                self.restart(name)
+        elif kind == "outage":
+            self.outage = True
+            self.late.append((until, self.end_outage))
+        elif kind == "refused":
+            node.refused = True
+            self.late.append((until, lambda: setattr(node, "refused", False)))
+
+    def trouble(self, node: Node) -> None:
+        if self.rng.random() < MACHINE_TROUBLE_SHARE:
+            super().trouble(node)
+
+    def end_outage(self) -> None:
+        self.outage = False
+
+    def submit(self, node: Node, job: Any) -> bool:
+        return self.nodes[node.settings.member].is_awake and super().submit(node, job)
+
+    def cancel(self, job: str, node: Node) -> None:
+        if self.nodes[node.settings.member].is_awake:
+            super().cancel(job, node)
+
+    def ask_sibling(self, node: Node) -> None:
+        if all(each.is_awake for each in self.nodes.values()):
+            super().ask_sibling(node)
+
+    def step(self, calm: bool = False) -> None:
+        self.deliver_due()
+        super().step(calm)
+
+    def end_troubles(self) -> None:
+        super().end_troubles()
+        for node in self.nodes.values():
+            node.down_until = node.frozen_until = self.clock.time
+
+    # -- rules
+
+    def check(self) -> None:
+        super().check()
+        present = [task for task, _ in self.present(leased=True)]
+        for team, limit in self.limits.items():
+            assert self.used(team, present) <= limit + ROUNDING_TOLERANCE, f"quota: {team}"
+            stored = sum(amount.cores for amount in self.store.tables.quota_allocations.get(team, {}).values())
+            assert stored <= limit + ROUNDING_TOLERANCE, f"allocations above the limit: {team} {stored}"
+        for node in self.nodes.values():
+            if node.is_awake:
+                self.check_covered(node)
+
+    def check_covered(self, node: QuotaNode) -> None:
+        """What a controller accounts for is within its allocation, by its own tables, once its adoptions are stored."""
+        incarnation_id, tables, registry = node.leadership.incarnation_id, node.tables, node.machines.registry
+        ownership = node.machines.ownership
+        is_current = ownership.incarnation == node.leadership.incarnation and node.leadership.is_member
+        if not is_current or ownership.followed_view != tables.view.number:
+            return
+        if not registry.adoptions_stored(tables, incarnation_id):
+            return
+        for team in self.limits:
+            cores = self.accounted_cores(node, team)
+            allocated = tables.quota_allocation(team, incarnation_id).cores
+            assert cores <= allocated + ROUNDING_TOLERANCE, f"not covered: {team} {cores} of {allocated}"
+
+    def accounted_cores(self, node: QuotaNode, team: str) -> float:
+        """The cores of tasks on a controller's machines, and of its tasks on machines that another one owns now."""
+        registry, tables = node.machines.registry, node.tables
+        placed = [attempt.spec for machine in registry.machines.values() for attempt in machine.attempts.values()]
+        cores = sum(each.cores for each in placed if each.team == team)
+        if tables.recovery_complete():
+            return cores
+        for name, tasks in registry.handed_off_tasks.items():
+            job = tables.jobs.get(name)
+            if job is not None and job.spec.team == team:
+                claimed = job.progress.claims.get(node.leadership.incarnation_id, 0)
+                cores += job.spec.cores * (tasks & claimed).bit_count()
+        return cores
+
+
+def play(seed: int, steps: int = STEPS, calm_steps: int = 0) -> QuotaWorld:
+    """Plays a world, checking the rules after each step; in the calm steps at its end nothing more goes wrong."""
+    world = QuotaWorld(seed)
+    try:
+        world.start()
+        for step in range(steps + calm_steps):
+            if step == steps:
+                world.end_troubles()
+            world.step(calm=step >= steps)
+    finally:
+        world.close()
+    return world
+
+
+if __name__ == "__main__":
+    sys.exit(play_seeds(play, int(sys.argv[1]), int(sys.argv[2])))
--- a/tests/test_commit_adoptions.py
+++ b/tests/test_commit_adoptions.py
@@ -164,6 +164,17 @@
     assert len(wire.encode(value)) <= 60 and tasks and tasks == taskset.lowest(scattered, tasks.bit_count())
 
 
+def test_a_decrease_computed_before_an_adoption_does_not_give_away_what_the_adopted_tasks_use(store: Store) -> None:
+    store.upgraded()
+    store.job(spec(cores=2.0))
+    store.progress(JOB, c1_2=0b0011)
+    store.put(keys.team_key("red"), {SIBLING: [4.0, 0.0], OWN: [8.0, 0.0]})
+    decrease = QuotaDecrease(store.tables.mod_revision(keys.team_key("red")), 5.0, 0.0)
+    claims = RequestedClaims(quota_decreases={"red": decrease})
+    plan = plan_commit(snapshot(store, {JOB: JobUpdates(adopted=0b0011, adopted_view=3)}, claims=claims), [])
+    assert plan.transaction.writes[keys.team_key("red")] == {OWN: [9.0, 0.0]}
+
+
 def test_adoptions_are_not_grouped_where_decreases_take_the_transaction(store: Store) -> None:
     updates = two_adopted_jobs(store)
     claims = RequestedClaims(quota_decreases={"red": QuotaDecrease(0, 1.0, 0.0)})
