A decrease of an allocation no longer gives away what adopted tasks use

Cause: the machines actor computes a decrease as an absolute amount; the jobs actor waits for the write rate and plans it into one transaction with whatever was adopted meanwhile. QuotaChanges.decrease checked that the stored row had not changed, not that the same transaction had just moved the adopted tasks' part into it, and set the allocation to the smaller amount. The adopted tasks' cores belonged to nobody while the tasks ran, and another controller could take them.

Fix: a decrease is relative to the row that it was computed from. The row is still that one (its revision is a condition), so the difference is returned, and what the transaction's adoptions brought stays.

--- a/sloeswitch/core/quota_changes.py
+++ b/sloeswitch/core/quota_changes.py
@@ -20,7 +20,10 @@
 
 
 class QuotaDecrease(NamedTuple):
-    """A smaller allocation, and the revision of the team's row that it was computed from."""
+    """A smaller allocation, and the revision of the team's row that it was computed from.
+
+    It is relative to that row: what the row's allocation has above it is returned.
+    """
 
     mod_revision: int
     cores: float
@@ -104,12 +107,16 @@
         self._set(team.name, changed, QuotaChangeReason.INCREASE)
 
     def decrease(self, team: str, decrease: QuotaDecrease) -> None:
-        """Lowers this controller's allocation, unless the team's row changed since the decrease was computed."""
+        """Returns a part of this controller's allocation, unless the team's row changed since that was computed."""
         if decrease.mod_revision != self._tables.mod_revision(keys.team_key(team)):
             return
-        allocations = self._current(team)
+        stored = self._tables.quota_allocation(team, self._incarnation_id)
+        allocations = dict(self._current(team))
+        # What this transaction's adoptions brought was not there to be returned when the decrease was computed.
         cores, gpus = allocations.get(self._incarnation_id, ResourceAmount())
-        allocations[self._incarnation_id] = ResourceAmount(min(cores, decrease.cores), min(gpus, decrease.gpus))
+        allocations[self._incarnation_id] = ResourceAmount(
+            cores - max(0.0, stored.cores - decrease.cores), gpus - max(0.0, stored.gpus - decrease.gpus)
+        )
         self._set(team, allocations, QuotaChangeReason.DECREASE)
 
     def _set(self, team: str, allocations: TeamAllocations, reason: QuotaChangeReason) -> None:
