No part of a team's limit moves with an adoption whose row is not written

What callers would see: a controller's allocation shrinks for tasks that stay its claims, so that another one may use that part of the limit as well.

Cause: the commit planner moved the adopted tasks' part of the allocation before it knew whether the job's progress fits a value. An oversized row is left out, the team's row was written all the same, and again with each attempt: sibling 20 cores, an adoption of 3 tasks, and 6 cores moved with every round. It needs adoptions job by job, as before the layout rollout is complete or where decreases take the transaction.

Fix: the quota moves after the job's row is in the transaction, and so does the reliance on the view. The same class as the decrease beside an adoption: a row of quotas planned from something that the transaction does not carry out.

The test failed before: the transaction held s1/q/red alone, {c1.2: 14, c0.1: 6}.

--- a/sloeswitch/core/commit_planner.py
+++ b/sloeswitch/core/commit_planner.py
@@ -236,22 +236,23 @@
             or self._total_bytes > self._limits.total_bytes
         ):
             return False
-        if adopted:
-            # The tasks' part of the limit comes with them, in the same transaction.
-            self._changes_left -= allocation_changes
-            self._quota.move_with_adoption(job, adopted)
         voids_claims = (
             self._snapshot.recovery_complete and self._snapshot.is_leader and bool(self._tables.void_claim_holders(job))
         )
         progress = self._progress_after(job, voids_claims)
         claims_tasks = self._claim(job, progress)
-        if adopted or voids_claims or claims_tasks:
-            self._relies_on_view = True
         if not progress.claims:
             # None of its tasks is anywhere, so that none binds the others to a zone. Guards against a job that
             # waits for ever in a zone whose machines are gone.
             progress.zone = None
-        self._write_job(job, progress)
+        if not self._write_job(job, progress):
+            return True
+        if adopted:
+            # The tasks' part of the limit comes with them, in the same transaction.
+            self._changes_left -= allocation_changes
+            self._quota.move_with_adoption(job, adopted)
+        if adopted or voids_claims or claims_tasks:
+            self._relies_on_view = True
         return True
 
     def _single_adoption(self, job: Job) -> int:
@@ -314,8 +315,8 @@
 
     # -- rows
 
-    def _write_job(self, job: Job, progress: Progress) -> None:
-        """Adds the job's row or its progress, whichever changes.
+    def _write_job(self, job: Job, progress: Progress) -> bool:
+        """Adds the job's row or its progress, whichever changes; returns whether one does and fits a value.
 
         The progress of a job that ends is deleted later (see `actors.garbage_collection`): its end should be one
         change.
@@ -329,15 +330,16 @@
         else:
             value = self._encode_changed_progress(job, progress)
             if value is None:
-                return
+                return False
             size_bytes = len(wire.encode(value))
             if size_bytes > self._limits.value_bytes:
                 self._oversized_jobs.append(job.spec.id)
-                return
+                return False
             self._transaction.writes[progress_key] = value
             self._total_bytes += size_bytes
         self._transaction.conditions[job_key] = job.mod_revision
         self._transaction.conditions[progress_key] = job.progress_revision
+        return True
 
     def _encode_changed_progress(self, job: Job, progress: Progress) -> dict[str, Any] | None:
         """The value of the job's progress row; None if it stays the same."""
--- a/tests/test_commit_adoptions.py
+++ b/tests/test_commit_adoptions.py
@@ -164,6 +164,16 @@
     assert len(wire.encode(value)) <= 60 and tasks and tasks == taskset.lowest(scattered, tasks.bit_count())
 
 
+def test_no_quota_moves_with_an_adoption_whose_progress_is_too_large_to_be_stored(store: Store) -> None:
+    store.job(spec(visits=400))
+    scattered = sum(1 << number for number in range(0, 400, 3))
+    store.progress(JOB, c1_2=scattered)
+    store.put(keys.team_key("red"), {SIBLING: [20.0, 0.0]})
+    updates = {JOB: JobUpdates(adopted=scattered & 0xFF, adopted_view=3)}
+    plan = plan_commit(snapshot(store, updates, limits=replace(ROOMY, value_bytes=40)), [JOB])
+    assert plan.oversized_jobs == [JOB] and not plan.transaction.writes
+
+
 def test_a_decrease_computed_before_an_adoption_does_not_give_away_what_the_adopted_tasks_use(store: Store) -> None:
     store.upgraded()
     store.job(spec(cores=2.0))
