--- a/deploy/compile.py
+++ b/deploy/compile.py
@@ -9,6 +9,7 @@
 for module in (
     "run",
     "sloeswitch.controller",
+    "sloeswitch.metrics",
     "sloeswitch.cells.link",
     "sloeswitch.admission.coordinator",
     "sloeswitch.admission.gate",
--- a/sloeswitch/actors/users.py
+++ b/sloeswitch/actors/users.py
@@ -30,10 +30,16 @@
 READ_TIMEOUT_S = 1.0
 # State calls time out after a part of the controller lease; clients are to be back by then.
 RETRY_AFTER_S = 1.0
+# The text format of Prometheus.
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # A heartbeat on the same connection within so many intervals shows that the answer before it was received.
 ANSWER_RECEIVED_INTERVALS = 2
 
 
+# The metrics as they are now, in the text format.
+MetricsRenderer = Callable[[], Awaitable[bytes]]
+
+
 class Route(NamedTuple):
     """One operation: its method, its path, whose first group is the job if there is one, and what answers it."""
 
@@ -78,9 +84,11 @@
 
 
 class Users:
-    """Answers the requests of users and workers. Holds no state but that of the connections."""
+    """Answers the requests of users, workers and monitoring. Holds no state but that of the connections."""
 
-    def __init__(self, context: ControllerContext, jobs: Jobs, machines: Machines) -> None:
+    def __init__(
+        self, context: ControllerContext, jobs: Jobs, machines: Machines, render_metrics: MetricsRenderer | None = None
+    ) -> None:
         self.settings = context.settings
         self.client = context.client
         self.replica = context.replica
@@ -88,9 +96,11 @@
         self.leadership = context.leadership
         self.jobs = jobs
         self.machines = machines
+        self._render_metrics = render_metrics
         self._routes = (
             Route("POST", re.compile(r"/agent/beat"), self._heartbeat),
             Route("GET", re.compile(r"/healthz"), self._health),
+            Route("GET", re.compile(r"/metrics"), self._answer_metrics),
             Route("POST", re.compile(r"/submissions"), self._submit),
             Route("GET", re.compile(r"/*submissions/([^/]+)/*"), self._poll),
             Route("POST", re.compile(r"/*submissions/([^/]*)/cancel/*"), self._cancel),
@@ -146,6 +156,13 @@
     async def _health(self, _request: Request, _job: str) -> Answer:
         return Answer(200) if self.is_healthy else unavailable()
 
+    # -- metrics
+
+    async def _answer_metrics(self, _request: Request, _job: str) -> Answer:
+        if self._render_metrics is None:
+            return not_found("no metrics")
+        return Answer(200, await self._render_metrics(), content_type=METRICS_CONTENT_TYPE)
+
     # -- submit
 
     async def _submit(self, request: Request, _job: str) -> Answer:
--- a/sloeswitch/controller.py
+++ b/sloeswitch/controller.py
@@ -5,12 +5,15 @@
 
 from __future__ import annotations
 
+import importlib
 import logging
 import secrets
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 
 import anyio
+import anyio.to_thread
 from anyio.abc import SocketListener, TaskGroup
 
 from sloeswitch.actors.context import ControllerContext
@@ -96,7 +99,7 @@
     scale_out = ScaleOut(context, cloud, scale_in)
     machines.termination.autoscaler, scale_in.machines = scale_in, machines
     server = Server(
-        Users(context, jobs, machines).handle,
+        Users(context, jobs, machines, metrics_renderer(context, machines)).handle,
         idle_s=IDLE_CONNECTION_WORKER_LEASES * settings.lease_s,
         request_s=settings.lease_s / 2,
         max_connections=int(SERVER_SOCKETS_SHARE * settings.fd_limit),
@@ -105,6 +108,21 @@
     return Controller(settings, context.replica, mesh, membership, jobs, machines, scale_in, scale_out, server)
 
 
+def metrics_renderer(context: ControllerContext, machines: Machines) -> Callable[[], Awaitable[bytes]]:
+    """What renders the metrics; the first call loads their library, which a controller that nobody asks lacks."""
+    # Filled by the first call.
+    loaded: list[Callable[[], bytes]] = []
+
+    async def render() -> bytes:
+        if not loaded:
+            # In a thread, since it takes longer than a heartbeat should wait.
+            module = await anyio.to_thread.run_sync(importlib.import_module, "sloeswitch.metrics")
+            loaded[:] = [module.ControllerMetrics(context, machines).render]
+        return loaded[0]()
+
+    return render
+
+
 def build_context(settings: Settings) -> tuple[ControllerContext, Mesh]:
     """Makes what all actors share, and the mesh by which the leadership learns what siblings know."""
     log_size = int(CANCELLATION_LOG_WORKER_LEASES * settings.lease_s * settings.state_write_rps)
--- a/sloeswitch/http.py
+++ b/sloeswitch/http.py
@@ -54,6 +54,9 @@
     connection_state: dict[str, float] = field(default_factory=dict)
 
 
+JSON_CONTENT_TYPE = "application/json"
+
+
 @dataclass
 class Answer:
     """A response to send; `close` has the connection closed after it."""
@@ -62,6 +65,7 @@
     body: bytes = b"{}"
     headers: list[tuple[str, str]] = field(default_factory=list)
     close: bool = False
+    content_type: str = JSON_CONTENT_TYPE
 
 
 def refuse(retry_s: float) -> Answer:
@@ -123,7 +127,7 @@
 
 def encode_head(parser: h11.Connection, answer: Answer) -> bytes:
     """The status line and headers of an answer."""
-    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(answer.body))), *answer.headers]
+    headers = [("Content-Type", answer.content_type), ("Content-Length", str(len(answer.body))), *answer.headers]
     if answer.close:
         headers.append(("Connection", "close"))
     reason = REASONS.get(answer.status, b"")
@@ -139,17 +143,18 @@
 
 
 @functools.lru_cache(maxsize=REMEMBERED_ANSWER_HEADS)
-def _encode_plain_head(status: int, body_bytes: int, headers: tuple[tuple[str, str], ...]) -> bytes:
+def _encode_plain_head(status: int, body_bytes: int, headers: tuple[tuple[str, str], ...], content_type: str) -> bytes:
     parser = h11.Connection(h11.SERVER)
     parser.receive_data(b"GET / HTTP/1.1\r\nHost: any\r\n\r\n")
     parser.next_event()
     parser.next_event()
-    return encode_head(parser, Answer(status, bytes(body_bytes), list(headers)))
+    return encode_head(parser, Answer(status, bytes(body_bytes), list(headers), content_type=content_type))
 
 
 def encode_plain_answer(answer: Answer) -> bytes:
     """The answer to a request with a plain head, with the head that h11 wrote for the first answer like it."""
-    return _encode_plain_head(answer.status, len(answer.body), tuple(answer.headers)) + answer.body
+    head = _encode_plain_head(answer.status, len(answer.body), tuple(answer.headers), answer.content_type)
+    return head + answer.body
 
 
 # -- connections
--- /dev/null
+++ b/sloeswitch/metrics.py
@@ -0,0 +1,200 @@
+"""Metrics of one controller in the Prometheus text format, computed from its state when they are asked for.
+
+Imported with the first request for them (`actors.users`): `prometheus_client` takes memory and start-up time,
+which a controller that nobody scrapes does not pay. Operators' list of the metrics, with alerts: docs/operations/metrics.md.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+from enum import StrEnum
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from sloeswitch.actors.context import ControllerContext
+from sloeswitch.actors.machines import Machines
+from sloeswitch.core.machine import Machine
+from sloeswitch.core.quota import ResourceAmount, ResourceUsage, team_limit
+from sloeswitch.wire import split_task
+
+PREFIX = "sloeswitch_"
+
+
+class MachineCondition(StrEnum):
+    """What a machine is good for at present; each machine is in one of these conditions."""
+
+    # Its tasks are not known yet after a change of owner.
+    UNRECOVERED = "unrecovered"
+    # Its lease is over, or it has not reported since the change of owner; it holds nothing.
+    SILENT = "silent"
+    # It reports and is not seen to receive answers.
+    UNREACHABLE = "unreachable"
+    # It reports and gets no tasks: it is drained, surplus, or about to be preempted.
+    DRAINING = "draining"
+    SCHEDULABLE = "schedulable"
+
+
+def machine_condition(machine: Machine) -> MachineCondition:
+    """The condition of a machine of this controller."""
+    if not machine.is_recovered:
+        return MachineCondition.UNRECOVERED
+    if not machine.reconciled:
+        return MachineCondition.SILENT
+    if not machine.reachable:
+        return MachineCondition.UNREACHABLE
+    if machine.draining or machine.surplus or machine.preemption_notice_s is not None:
+        return MachineCondition.DRAINING
+    return MachineCondition.SCHEDULABLE
+
+
+class ControllerMetrics(Collector):
+    """Collects the metrics of one controller; reads the state of its actors and changes none of it."""
+
+    def __init__(self, context: ControllerContext, machines: Machines) -> None:
+        self._context = context
+        self._machines = machines
+        self._registry = CollectorRegistry(auto_describe=False)
+        self._registry.register(self)
+
+    def render(self) -> bytes:
+        """All metrics, in the text format."""
+        return generate_latest(self._registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """The metrics as they are now."""
+        yield from self._leadership()
+        yield from self._state_service()
+        yield from self._shard()
+        yield from self._quotas()
+
+    def _leadership(self) -> Iterator[Metric]:
+        leadership, replica, membership = (
+            self._context.leadership,
+            self._context.replica,
+            self._machines.membership,
+        )
+        yield _gauge("leader", "Whether this controller may start tasks and store claims.", leadership.is_leader)
+        yield _gauge("coordinator", "Whether it writes views and creates machines.", leadership.is_coordinator)
+        yield _gauge("view", "The number of the newest view that it has read.", leadership.view.number)
+        yield _gauge("recovered_view", "The last view of which it has stored its recovery.", membership.recovered_view)
+        yield _gauge(
+            "recovery_complete",
+            "Whether all members have recovered the newest view.",
+            self._context.tables.recovery_complete(),
+        )
+        yield _gauge("revision", "The revision up to which it has read all rows.", replica.applied_revision)
+        yield _gauge(
+            "revision_age_seconds",
+            "The time since its last linearizable read was sent.",
+            self._context.clock.now() - replica.linearizable_at,
+        )
+
+    def _state_service(self) -> Iterator[Metric]:
+        client = self._context.client
+        yield _counters(
+            "state_requests",
+            "Requests to the state service by the status of the answer; none: no answer.",
+            "status",
+            client.requests_by_status,
+        )
+        yield _counters(
+            "state_transactions",
+            "Transactions by their outcome; unknown ones may be carried out late.",
+            "outcome",
+            {outcome.name.lower(): count for outcome, count in client.transactions_by_outcome.items()},
+        )
+        outages = CounterMetricFamily(PREFIX + "state_outages", "How often the state service began not to answer.")
+        outages.add_metric([], client.outages)
+        yield outages
+        yield _gauge("state_reachable", "Whether the state service answers this controller.", client.is_reachable)
+
+    def _shard(self) -> Iterator[Metric]:
+        registry = self._machines.registry
+        machines = registry.machines.values()
+        conditions = Counter({str(condition): 0 for condition in MachineCondition})
+        conditions.update(str(machine_condition(machine)) for machine in machines)
+        yield _gauges("machines", "Machines of this controller by condition.", "condition", conditions)
+        tasks = Counter(str(attempt.state) for machine in machines for attempt in machine.attempts.values())
+        tasks["foreign"] = sum(len(machine.foreign_attempts) for machine in machines)
+        tasks["handed_off"] = sum(mask.bit_count() for mask in registry.handed_off_tasks.values())
+        tasks["adopting"] = sum(mask.bit_count() for mask in registry.adopting.values())
+        yield _gauges(
+            "tasks",
+            "Tasks of this controller by state; adopting ones are counted in their state as well.",
+            "condition",
+            tasks,
+        )
+
+    def _quotas(self) -> Iterator[Metric]:
+        context, ledger = self._context, self._machines.quota
+        teams = context.settings.teams
+        incarnation_id = context.leadership.incarnation_id
+        foreign = self._foreign_usage()
+        yield _team_amounts("limit", "The team's limit.", {team.name: team_limit(team) for team in teams.values()})
+        yield _team_amounts(
+            "allocation",
+            "This controller's stored part of the limit.",
+            {team: context.tables.quota_allocation(team, incarnation_id) for team in teams},
+        )
+        yield _team_amounts(
+            "usage",
+            "What tasks use under this controller's responsibility, handed-off ones included.",
+            {team: ledger.usage(team) for team in teams},
+        )
+        yield _team_amounts(
+            "handed_off",
+            "What its tasks use on machines that another controller owns now.",
+            {team: ledger.handed_off_usage.get(team, ResourceUsage()) for team in teams},
+        )
+        yield _team_amounts(
+            "foreign",
+            "What attempts use that are being stopped and that no usage has.",
+            {team: foreign.get(team, ResourceUsage()) for team in teams},
+        )
+
+    def _foreign_usage(self) -> dict[str, ResourceUsage]:
+        """By team, what foreign attempts use whose jobs are known."""
+        usage: dict[str, ResourceUsage] = {}
+        for machine in self._machines.registry.machines.values():
+            for key in machine.foreign_attempts:
+                job = self._context.tables.jobs.get(split_task(key[0])[0])
+                if job is not None:
+                    usage.setdefault(job.spec.team, ResourceUsage()).add(job.spec)
+        return usage
+
+
+def _gauge(name: str, text: str, value: float) -> Metric:
+    return GaugeMetricFamily(PREFIX + name, text, value=float(value))
+
+
+def _gauges(name: str, text: str, label: str, values: Mapping[str, float]) -> Metric:
+    family = GaugeMetricFamily(PREFIX + name, text, labels=[label])
+    for key, value in sorted(values.items()):
+        family.add_metric([key], value)
+    return family
+
+
+def _counters(name: str, text: str, label: str, values: Mapping[str, int]) -> Metric:
+    family = CounterMetricFamily(PREFIX + name, text, labels=[label])
+    for key, value in sorted(values.items()):
+        family.add_metric([key], value)
+    return family
+
+
+def _team_amounts(name: str, text: str, amounts: Mapping[str, ResourceAmount | ResourceUsage]) -> Metric:
+    """Cores and GPUs by team."""
+    family = GaugeMetricFamily(f"{PREFIX}team_{name}", f"{text} In cores and GPUs.", labels=["team", "resource"])
+    for team, resource, value in _resources(amounts.items()):
+        family.add_metric([team, resource], value)
+    return family
+
+
+def _resources(
+    amounts: Iterable[tuple[str, ResourceAmount | ResourceUsage]],
+) -> Iterator[tuple[str, str, float]]:
+    for team, amount in sorted(amounts, key=lambda pair: pair[0]):
+        yield team, "cores", amount.cores
+        yield team, "gpus", amount.gpus
--- a/sloeswitch/state_client.py
+++ b/sloeswitch/state_client.py
@@ -9,6 +9,7 @@
 
 import enum
 import logging
+from collections import Counter
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple
@@ -35,6 +36,8 @@
 # lowering ends.
 LOWERED_FRACTION_OF_VALUE = 0.7
 MIN_FRACTION_OF_VALUE_LIMIT = 1 / 8
+# The status of a request that had no answer, among the counted ones.
+NO_ANSWER = "none"
 # How much of a refused transaction's answer is logged.
 LOGGED_ANSWER_BYTES = 200
 
@@ -90,6 +93,9 @@
         txn_ops: How many changes the state service takes in a transaction; lowered if it takes fewer than configured.
         value_bytes: How long a stored value may be; lowered if the state service takes less than configured.
         failing_since: When requests began to fail without any answer since; None while the service answers.
+        requests_by_status: How many requests were answered with each status; `none`: no answer.
+        transactions_by_outcome: How many transactions ended in each way.
+        outages: How often requests began to fail.
     """
 
     def __init__(self, settings: Settings, controller_count: Callable[[], int], now: Callable[[], float]) -> None:
@@ -104,6 +110,9 @@
         self.txn_ops = settings.txn_ops
         self.value_bytes = settings.value_bytes
         self.failing_since: float | None = None
+        self.requests_by_status: Counter[str] = Counter()
+        self.transactions_by_outcome: Counter[TransactionOutcome] = Counter()
+        self.outages = 0
 
     # -- rates
 
@@ -157,8 +166,10 @@
         try:
             reply = await client.request(method, path, body, self.timeout_s + hold_s)
         except HttpTransportError:
+            self.requests_by_status[NO_ANSWER] += 1
             self._record_failure()
             raise
+        self.requests_by_status[str(int(reply.status))] += 1
         self._record_status(reply.status)
         return reply
 
@@ -182,6 +193,7 @@
     def _record_failure(self) -> None:
         if self.failing_since is None:
             self.failing_since = self.now()
+            self.outages += 1
             log.info("state service does not answer")
 
     # -- transactions
@@ -208,6 +220,13 @@
             self.refund_changes(acquired_changes - len(transaction))
         else:
             await self.acquire_changes(len(transaction), priority)
+        result = await self._send_transaction(body, transaction, priority)
+        self.transactions_by_outcome[result.outcome] += 1
+        return result
+
+    async def _send_transaction(
+        self, body: bytes, transaction: Transaction, priority: RequestPriority
+    ) -> TransactionResult:
         try:
             reply = await self.call("POST", "/multi", body, priority)
             result = transaction_result(reply)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -23,7 +23,7 @@
 from sloeswitch.rate_budget import RequestPriority
 from sloeswitch.state_client import TransactionOutcome
 from tests.conftest import SETTINGS, Store, spec
-from tests.support.single_controller import World
+from tests.support.single_controller import World, ask
 
 TASKS_OF_A_MACHINE = 2
 MACHINES_OF_A_JOB = 50
@@ -163,12 +163,17 @@
         sizes = [size for _, size in world.transactions]
         return f"{rounds} transactions, the largest {max(sizes, default=0)} bytes, {sum(sizes)} in all"
 
+    def scrape() -> str:
+        return f"{len(ask(world, 'GET', '/metrics').body)} bytes"
+
     world = FleetWorld(machines)
     timed("take-over, all machines heard", world.take_over)
     timed("adoptions stored", settle)
     timed("tick", world.tick)
     timed("tick", world.tick)
     timed("unchanged reports of all machines", lambda: world.report_all(4))
+    timed("metrics, the library's import included", scrape)
+    timed("metrics", scrape)
     world.cancel_all()
     timed("tick with everything cancelled", world.tick)
     timed("tick with everything cancelled", world.tick)
--- a/tests/support/single_controller.py
+++ b/tests/support/single_controller.py
@@ -16,6 +16,7 @@
 from sloeswitch.actors.membership import Membership
 from sloeswitch.actors.scale_in import ScaleIn
 from sloeswitch.actors.users import Users
+from sloeswitch.controller import metrics_renderer
 from sloeswitch.core import job_queue, keys
 from sloeswitch.core.cancellation_log import CancellationLog
 from sloeswitch.core.quota import ResourceAmount
@@ -207,7 +208,7 @@
 
 
 def ask(world: World, method: str, path: str, body: Any = None) -> Answer:
-    users = Users(world.context, world.jobs, world.machines)
+    users = Users(world.context, world.jobs, world.machines, metrics_renderer(world.context, world.machines))
 
     async def handle() -> Answer:
         return await users.handle(Request(method, path, wire.encode(body) if body is not None else b""))
