--- a/sloeswitch/metrics.py
+++ b/sloeswitch/metrics.py
@@ -1,7 +1,8 @@
 """Metrics of one controller in the Prometheus text format, computed from its state when they are asked for.
 
-Imported with the first request for them (`actors.users`): `prometheus_client` takes memory and start-up time,
-which a controller that nobody scrapes does not pay. Operators' list of the metrics, with alerts: docs/operations/metrics.md.
+Imported with the first request for them (`controller.metrics_renderer`): `prometheus_client` takes memory and start-up
+time, which a controller that nobody scrapes does not pay. Operators' list of the metrics, with alerts:
+docs/operations/metrics.md.
 """
 
 from __future__ import annotations
