Messages are imported from their own modules; a lagging state service overrides one method

actors/jobs re-exported ClaimRequest, TaskUpdates and add_tasks for older imports. The cluster's state service asks travel() before and after a transaction, so that the quota world need not repeat compare_and_swap. No behaviour changes.

--- a/sloeswitch/actors/claim_requester.py
+++ b/sloeswitch/actors/claim_requester.py
@@ -9,7 +9,8 @@
 
 from sloeswitch.actors.base import InboxFullError
 from sloeswitch.actors.commands import Spawn
-from sloeswitch.actors.jobs import ClaimRequest, Jobs
+from sloeswitch.actors.job_messages import ClaimRequest
+from sloeswitch.actors.jobs import Jobs
 from sloeswitch.actors.shard_state import ShardState
 from sloeswitch.actors.task_placement import TaskPlacement
 from sloeswitch.core import placement
--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -21,14 +21,12 @@
 from sloeswitch.actors.spec_chunks import transaction_values_bytes
 from sloeswitch.core.commit_planner import CommitLimits, CommitPlan, CommitSnapshot, plan_commit
 from sloeswitch.core.commit_schedule import CommitDelays, CommitSchedule
-from sloeswitch.core.uncommitted_updates import TaskUpdates, UncommittedUpdates, add_tasks
+from sloeswitch.core.uncommitted_updates import TaskUpdates, UncommittedUpdates
 from sloeswitch.rate_budget import RequestPriority
 from sloeswitch.replica import StaleReplicaError
 from sloeswitch.state_client import TransactionOutcome
 from sloeswitch.wire import JobStatus
 
-__all__ = ["ClaimRequest", "Jobs", "TaskUpdates", "add_tasks"]
-
 log = logging.getLogger("jobs")
 
 
--- a/sloeswitch/actors/quota_ledger.py
+++ b/sloeswitch/actors/quota_ledger.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 
 from sloeswitch.actors.context import ControllerContext
-from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.quota_log import log_overuse
 from sloeswitch.core import keys, quota
 from sloeswitch.core.machine_registry import MachineRegistry
--- a/sloeswitch/actors/task_update_outbox.py
+++ b/sloeswitch/actors/task_update_outbox.py
@@ -8,9 +8,10 @@
 
 from sloeswitch.actors.base import InboxFullError
 from sloeswitch.actors.context import ControllerContext
-from sloeswitch.actors.jobs import Jobs, TaskUpdates, add_tasks
+from sloeswitch.actors.jobs import Jobs
 from sloeswitch.core.machine_registry import MachineRegistry
 from sloeswitch.core.records import Job
+from sloeswitch.core.uncommitted_updates import TaskUpdates, add_tasks
 
 
 class TaskUpdateOutbox:
--- a/tests/support/cell.py
+++ b/tests/support/cell.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 from sloeswitch.actors.context import ControllerContext
-from sloeswitch.actors.jobs import ClaimRequest, Jobs, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
+from sloeswitch.actors.jobs import Jobs
 from sloeswitch.actors.leadership import Leadership
 from sloeswitch.cells.origin import CellOrigin
 from sloeswitch.cells.policy import MovePolicy
@@ -13,6 +14,7 @@
 from sloeswitch.core import job_queue, keys
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.records import Job
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from sloeswitch.features import CellFeatures, PeerCell
 from sloeswitch.frame_link import NoAnswerError
 from sloeswitch.replica import StaleReplicaError
--- a/tests/support/cluster_node.py
+++ b/tests/support/cluster_node.py
@@ -5,13 +5,15 @@
 from typing import TYPE_CHECKING, Any
 
 from sloeswitch.actors.context import ControllerContext
-from sloeswitch.actors.jobs import ClaimRequest, Jobs, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
+from sloeswitch.actors.jobs import Jobs
 from sloeswitch.actors.leadership import Leadership
 from sloeswitch.actors.machine_messages import MachinesMessage
 from sloeswitch.actors.machines import Machines
 from sloeswitch.actors.membership import Membership, ShardRecovered
 from sloeswitch.core.cancellation_log import CancellationLog
 from sloeswitch.core.tables import Tables
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from sloeswitch.mesh import Mesh, MeshCallbacks
 from sloeswitch.settings import parse
 from tests.support.cluster_cloud import ScriptedCloud, ScriptedTaskGroup
--- a/tests/support/cluster_state.py
+++ b/tests/support/cluster_state.py
@@ -32,6 +32,15 @@
         leases: dict[str, int] | None = None,
         acquired_changes: int = 0,
     ) -> TransactionResult:
+        await self.travel()
+        result = self._carry_out_or_lose(transaction, leases)
+        await self.travel()
+        return result
+
+    async def travel(self) -> None:
+        """A request or its answer is on its way, which takes no time here."""
+
+    def _carry_out_or_lose(self, transaction: Transaction, leases: dict[str, int] | None) -> TransactionResult:
         conditions, writes, drops = transaction.conditions, transaction.writes, transaction.deletes
         world = self.node.world
         world.recorder.transaction(self.node.settings.member, conditions, writes, drops, leases)
--- a/tests/support/quota_world.py
+++ b/tests/support/quota_world.py
@@ -19,11 +19,10 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.machine_messages import HeartbeatRequest
 from sloeswitch.core.quota import ROUNDING_TOLERANCE
-from sloeswitch.core.transaction import Transaction
-from sloeswitch.state_client import TransactionResult
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from tests.conftest import SETTINGS, spec
 from tests.support.cluster import Args, Result, World
 from tests.support.cluster_node import Node
@@ -66,18 +65,9 @@
         """Waits for the write rate."""
         await self.node.pause(RATE_WAIT_S)
 
-    async def compare_and_swap(
-        self,
-        transaction: Transaction,
-        priority: Any,
-        *,
-        leases: dict[str, int] | None = None,
-        acquired_changes: int = 0,
-    ) -> TransactionResult:
+    async def travel(self) -> None:
+        """A request or its answer is on its way."""
         await self.node.pause(LATENCY_S)
-        result = await super().compare_and_swap(transaction, priority, leases=leases, acquired_changes=acquired_changes)
-        await self.node.pause(LATENCY_S)
-        return result
 
 
 class QuotaNode(Node):
--- a/tests/support/single_controller.py
+++ b/tests/support/single_controller.py
@@ -9,7 +9,8 @@
 
 from sloeswitch import mesh_frames, wire
 from sloeswitch.actors.context import ControllerContext
-from sloeswitch.actors.jobs import ClaimRequest, Jobs, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
+from sloeswitch.actors.jobs import Jobs
 from sloeswitch.actors.leadership import Leadership
 from sloeswitch.actors.machine_messages import HeartbeatRequest
 from sloeswitch.actors.machines import Machines
@@ -21,6 +22,7 @@
 from sloeswitch.core.cancellation_log import CancellationLog
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.records import JobState
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from sloeswitch.http import Answer, Request
 from sloeswitch.mesh import Mesh, MeshCallbacks, PeerStatus
 from sloeswitch.mesh_frames import StatusFrame, StatusRequest
--- a/tests/test_actors.py
+++ b/tests/test_actors.py
@@ -9,12 +9,13 @@
 import pytest
 
 from sloeswitch import controller, wire
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.machine_messages import HeartbeatRequest
 from sloeswitch.core import keys
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.quota_changes import QuotaDecrease
 from sloeswitch.core.records import JobState
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from tests.conftest import Store, report, spec
 from tests.support.single_controller import JOB, World, machine_up, meshed
 
--- a/tests/test_adoptions.py
+++ b/tests/test_adoptions.py
@@ -8,12 +8,13 @@
 import msgspec
 import pytest
 
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.core import keys, taskset
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.records import Job, JobState, Progress
 from sloeswitch.core.row_codec import encode_progress
 from sloeswitch.core.tables import Tables
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from sloeswitch.state_client import TransactionOutcome
 from tests.conftest import Store, report, spec
 from tests.support.single_controller import NARROW, World
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.core import keys
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.records import Job
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from sloeswitch.rate_budget import RequestPriority, TokenBucket
 from tests.conftest import Store, spec
 from tests.support.single_controller import NARROW, World, machine_up
--- a/tests/test_cancellations_in_outage.py
+++ b/tests/test_cancellations_in_outage.py
@@ -12,7 +12,7 @@
 import pytest
 
 from sloeswitch import mesh_frames, wire
-from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.leadership import Leadership
 from sloeswitch.actors.users import Users
 from sloeswitch.core import keys
--- a/tests/test_frozen_http.py
+++ b/tests/test_frozen_http.py
@@ -16,7 +16,7 @@
 from sloeswitch import wire
 from sloeswitch.actors.commands import CommandSender
 from sloeswitch.actors.context import ControllerContext
-from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.leadership import Leadership
 from sloeswitch.actors.machine_messages import HeartbeatRequest
 from sloeswitch.actors.membership import Membership
--- a/tests/test_frozen_rows.py
+++ b/tests/test_frozen_rows.py
@@ -16,7 +16,7 @@
 
 from sloeswitch import wire
 from sloeswitch.actors.feature_rollout import FeatureRollout
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.scale_in import ScaleIn
 from sloeswitch.actors.scale_out import ScaleOut
 from sloeswitch.admission.coordinator import AdmissionCoordinator
@@ -30,6 +30,7 @@
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.quota_changes import QuotaDecrease
 from sloeswitch.core.tables import Tables
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from sloeswitch.features import AdmissionFeatures, CellFeatures, PeerCell
 from sloeswitch.frame_link import NoAnswerError
 from tests.conftest import MACHINE_TYPE, report, spec
--- a/tests/test_gang_preemption.py
+++ b/tests/test_gang_preemption.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.core import keys, placement
 from sloeswitch.core.machine import Machine
 from sloeswitch.core.quota import ResourceAmount
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.machine_messages import HeartbeatRequest
 from sloeswitch.actors.machine_termination import TerminationReason
 from sloeswitch.actors.users import Users
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -10,7 +10,7 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.scale_in import ScaleIn
 from sloeswitch.actors.users import Users
 from sloeswitch.core import keys
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -8,11 +8,12 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.core import keys, scaling
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.records import JobState
 from sloeswitch.core.tables import Tables
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from sloeswitch.http_client import Reply
 from sloeswitch.replica import Replica, StaleReplicaError
 from tests.conftest import SETTINGS, Store, report, spec, submission
--- a/tests/test_quota_log.py
+++ b/tests/test_quota_log.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.core import keys
 from sloeswitch.core.quota import ResourceAmount
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from tests.conftest import Store, report, spec
 from tests.support.single_controller import JOB, World, machine_up, running
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.scale_in import ScaleIn
 from sloeswitch.actors.scale_out import ScaleOut
 from sloeswitch.cloud import CloudClient
--- a/tests/test_silent_machines.py
+++ b/tests/test_silent_machines.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from sloeswitch.actors.jobs import ClaimRequest
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.scale_in import ScaleIn
 from sloeswitch.core import keys
 from sloeswitch.core.cancellation_guard import OVERDUE_SHARE
--- a/tests/test_state_limits.py
+++ b/tests/test_state_limits.py
@@ -10,11 +10,11 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.actors.jobs import TaskUpdates
 from sloeswitch.actors.scale_in import ScaleIn
 from sloeswitch.actors.scale_out import ScaleOut
 from sloeswitch.core import keys, taskset
 from sloeswitch.core.transaction import Transaction
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from sloeswitch.settings import SettingsError, parse
 from sloeswitch.state_client import StateClient
 from tests.conftest import SETTINGS, Store, spec
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,11 +10,12 @@
 import anyio.lowlevel
 
 from sloeswitch import mesh_frames, wire
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.core import keys, taskset
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.records import JobState, MemberRow, Progress
 from sloeswitch.core.row_codec import decode_progress, encode_progress
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from tests.conftest import Store, spec, submission
 from tests.support.single_controller import (
     JOB,
--- a/tests/test_zone_binding.py
+++ b/tests/test_zone_binding.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from sloeswitch.actors.jobs import ClaimRequest, TaskUpdates
+from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.core import keys, placement
 from sloeswitch.core.machine import Machine
 from sloeswitch.core.quota import ResourceAmount
+from sloeswitch.core.uncommitted_updates import TaskUpdates
 from tests.conftest import Store, spec
 from tests.support.single_controller import JOB, World, later, world_with_scale_in
 
