--- a/sloeswitch/actors/cancellation_watch.py
+++ b/sloeswitch/actors/cancellation_watch.py
@@ -22,8 +22,7 @@
     """Finds machines that may hold cancelled tasks, while nobody may answer them, and has them deleted in time.
 
     Guards against a machine that hangs with a cancelled task, and whose owner restarted while the state service is
-    down: that process knows of nothing, and the others' permission ends with its confirmations (found by the random
-    world, tests/test_world.py).
+    down: that process knows of nothing, and the others' permission ends with its confirmations.
     """
 
     def __init__(
--- a/sloeswitch/actors/gang_preemption.py
+++ b/sloeswitch/actors/gang_preemption.py
@@ -150,7 +150,7 @@
         not all preempt tasks for it.
 
         A claim of an incarnation that is gone is none. Guards against a gang that was claimed when its controller
-        ended: open to all, it counted as claimed here, and got no capacity for minutes (found on the bench).
+        ended: open to all, it would count as claimed here, and get no capacity.
         """
         recovered = self.tables.recovery_complete()
         members = [member for member, _ in self.leadership.view.members]
--- a/sloeswitch/actors/machine_monitor.py
+++ b/sloeswitch/actors/machine_monitor.py
@@ -136,8 +136,7 @@
         """Whether a cancelled task may be on the machine that must be gone soon.
 
         Nothing is known of what is on a machine that was taken over and does not report. Guards against one that hangs
-        with a cancelled task while its owner changes and the state service is down: nobody deleted it (found by the
-        random world, tests/test_world.py).
+        with a cancelled task while its owner changes and the state service is down.
         """
         if machine.cancelled_since is not None:
             return now - machine.cancelled_since > OVERDUE_SHARE * self.settings.cancel_s
--- a/sloeswitch/actors/quota_ledger.py
+++ b/sloeswitch/actors/quota_ledger.py
@@ -144,5 +144,5 @@
                 request.quota_decreases[name] = self.pending_decreases[name] = decrease
                 del self.surplus_since[name]
         # A decrease may be under way and its answer lost, and until something else is written this controller keeps
-        # to it. Found on the bench: no task of a team started, since an increase back to what was stored wrote nothing.
+        # to it. An increase back to what is stored would write nothing, and no task of the team would start.
         request.forced_rewrites = {name for name in request.quota_increases if name in self.pending_decreases}
--- a/sloeswitch/actors/task_placement.py
+++ b/sloeswitch/actors/task_placement.py
@@ -84,8 +84,8 @@
         if capacity is None:
             return
         # Little is claimed ahead, so that whose image is here may go first: it saves a fetch and bends the
-        # order among a few only. Priorities above standard come before that: a stage of a pipeline waited for
-        # twenty seconds while machines had only the images of others (found on the bench).
+        # order among a few only. Priorities above standard come before that: a stage of a pipeline would wait while
+        # machines have only the images of others.
         for job in sorted(
             self.unplaced_jobs,
             key=lambda job: (
--- a/sloeswitch/actors/task_update_outbox.py
+++ b/sloeswitch/actors/task_update_outbox.py
@@ -63,8 +63,8 @@
     def withdraw_releases(self, claimed: dict[str, int]) -> None:
         """Tasks were claimed anew, so they are not being released any more.
 
-        Found on the bench: tasks were released and claimed again between two ticks, counted as on their way to others,
-        and were never run by anybody.
+        Guards against tasks that are released and claimed again between two ticks: counted as on their way to others,
+        they would never be run by anybody.
         """
         for name, tasks in claimed.items():
             if name in self.unstored_releases:
--- a/sloeswitch/cells/target.py
+++ b/sloeswitch/cells/target.py
@@ -64,7 +64,7 @@
         """Handoffs of an origin that it has not acknowledged.
 
         Guards against an acknowledgement that is lost: the origin has forgotten the handoff by then and asks no more,
-        and the record would be kept for ever (found by the seeded world, tests/test_cells_world.py).
+        and the record would be kept for ever.
         """
         found = (
             (name, over.delegated.number)
--- a/sloeswitch/core/commit_planner.py
+++ b/sloeswitch/core/commit_planner.py
@@ -168,8 +168,8 @@
     def _group_adoptions(self) -> None:
         """Writes adoptions of many jobs as one row.
 
-        Found on the bench: after a crash of all controllers a change for each job and controller took half a minute
-        of the state service's rate, and free capacity waited for it. The row counts in addition to the jobs' own
+        After a crash of all controllers a change for each job and controller would take much of the state service's
+        rate, and free capacity would wait for it. The row counts in addition to the jobs' own
         rows, by the revision that these contain (see `core.tables`). Its key is written once, and is kept while this
         incarnation is in the view that the write is conditional on: carried out late, it fails.
         """
--- a/sloeswitch/core/job_queue.py
+++ b/sloeswitch/core/job_queue.py
@@ -5,7 +5,7 @@
 upstream in `core/job_priority.py`, and the order in which each of several controllers claims in `core/claim_order.py`.
 
 Oldest first, where a job that has time to its next target counts as younger by the time that it can wait: short jobs
-have little, and were late behind long ones (found on the bench). Before that, in this order:
+have little, and would be late behind long ones. Before that, in this order:
 
 1. Starvation. A job that waited too long for its beginning is in the queue twice, in front for a part of its tasks
    (`Job.starved`) and in its ordinary place for the rest. One that is not done for very long goes by age alone.
@@ -135,12 +135,11 @@
     """What each team's jobs want so far, the oldest first, against what the team is guaranteed.
 
     Whether a job is guaranteed is decided once, when it first comes. Decided anew at every tick, the oldest work of a
-    team with more than its guarantee would always count as guaranteed; that kept urgent jobs waiting (found on the
-    bench).
+    team with more than its guarantee would always count as guaranteed, and urgent jobs would wait behind it.
 
     Work more urgent than standard counts only against its like, as a team's urgent work has the guarantee first: a
-    small stage of a pipeline waited for two minutes behind what had come within other guarantees (found on a recorded
-    day). Standard work counts against all of the team's work.
+    small stage of a pipeline would otherwise wait behind what came within other guarantees. Standard work counts
+    against all of the team's work.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -176,7 +175,7 @@
     start_or_ready_s = job.ready_ms / 1000 if start_by_s is None else job.submitted_ms / 1000 + start_by_s
     if job.guaranteed and is_urgent:
         # Also before what goes by age alone: on a day with more work than capacity that is most of the queue, and small
-        # urgent stages waited behind it for two minutes (found on a recorded day). The guarantees bound it.
+        # urgent stages would wait behind it. The guarantees bound it.
         return QueueKey(NOT_BEGUN, False, False, priority, missed, start_or_ready_s)
     if starvation is NOT_DONE:
         return QueueKey(starvation, False, False, 0, 0, float(job.ready_revision))
@@ -184,6 +183,6 @@
         # A job that can meet no target any more goes behind those that can: when a class comes faster than its team's
         # limit allows, plain age would make every job late. Only the end of all work is at stake for it: the longest
         # tasks first, so that none is left over. Not so what is more urgent than standard: the stages of a pipeline
-        # whose deadline had passed by its estimates waited for four minutes behind refreshes (found on a recorded day).
+        # whose deadline has passed by its estimates would wait behind everything else.
         return QueueKey(starvation, True, False, 0, 0, -job.spec.estimate_s)
     return QueueKey(starvation, False, not job.guaranteed, priority, missed, start_or_ready_s)
--- a/sloeswitch/core/preemption.py
+++ b/sloeswitch/core/preemption.py
@@ -47,8 +47,8 @@
         """The order of a queue.
 
         Of a job that is ordered by age a part must go on, so that the bounds on its delay hold. Guards against large
-        machines that stay full of old best-effort work: gangs that fit nowhere else waited for eight leases until they
-        went first themselves (found on the bench).
+        machines that stay full of old best-effort work: gangs that fit nowhere else would wait until they go first
+        themselves.
 
         Args:
             queue: The jobs in the order in which they get capacity.
--- a/sloeswitch/core/quota_allocation.py
+++ b/sloeswitch/core/quota_allocation.py
@@ -23,8 +23,7 @@
     """One controller's part of a team's limit.
 
     Each change is a write: while much of the limit is free, whole parts of it are taken and kept. Of a limit that is
-    used up nobody keeps more than it needs: what lay idle so, for the sake of a write, made checks late (found on
-    the bench).
+    used up nobody keeps more than it needs: others wait for what would lie idle for the sake of a write.
 
     Attributes:
         team: Whose limit it is.
--- a/sloeswitch/core/scaling.py
+++ b/sloeswitch/core/scaling.py
@@ -142,7 +142,7 @@
     """Whether all that the job still waits for has begun and it may not use spot machines.
 
     Of the other machines there are few, and one may be up by the time that the job is released. Other jobs find
-    capacity; when they were counted ahead as well, it cost more than it gained (found on the bench).
+    capacity; counting them ahead as well costs more than it gains.
     """
     if job.spec.spot or not job.unfinished_prerequisites or job.prerequisite_cancelled:
         return False
@@ -255,7 +255,7 @@
     offers = instance_offers(types)
     unmet = pack_demand(demand, supply, offers).unmet
     # Guards against a small job for which there is no machine at all: worth none by its size, it was never
-    # started (found on the bench: three tasks that may not use spot machines, when the last other was returned).
+    # started, for example tasks that may not use spot machines, once the last other machine is returned.
     without_machine = [
         wanted for wanted in unmet if not any(supply.get(offer.kind, 0) > 0 and wanted.suits(offer) for offer in offers)
     ]
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -130,8 +130,8 @@
     def unallocated_quota(self, team: Team) -> ResourceAmount:
         """What is left of the team's quota for any controller to take.
 
-        Once the recovery is complete, nothing that a departed controller's allocation covered exists. Found on the
-        bench: counted on, such allocations used up a quota, nobody asked for more, and the team stood still.
+        Once the recovery is complete, nothing that a departed controller's allocation covered exists. Guards against
+        a team that stands still: counted on, such allocations would use up its quota, and nobody would ask for more.
         """
         recovered = self.recovery_complete()
         in_view = self.view.incarnation_ids
--- a/sloeswitch/core/uncommitted_updates.py
+++ b/sloeswitch/core/uncommitted_updates.py
@@ -17,8 +17,8 @@
 class TaskUpdates:
     """What the machines actor observed since its last message, as sets of tasks by job.
 
-    One message carries all of it, however much there is. Found on the bench: a message for each task overran the
-    inbox when a controller took over all machines at once.
+    One message carries all of it, however much there is: a message for each task would overrun the inbox when a
+    controller takes over all machines at once.
     """
 
     done: dict[str, int] = field(default_factory=dict)
--- a/sloeswitch/http.py
+++ b/sloeswitch/http.py
@@ -270,8 +270,7 @@
             connection.closes_at = math.inf
             answer = await self.handler(request)
         connection.closes_at = self.now() + self.request_s
-        # Guards against h11's refusal to write a body in an answer to HEAD: the fault ended the whole controller
-        # (found by a test).
+        # Guards against h11's refusal to write a body in an answer to HEAD, which would end the whole controller.
         await connection.stream.send(encode_answer(parser, answer, bodiless=request.method == "HEAD"))
         if answer.close or parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
             return False
--- a/sloeswitch/rate_budget.py
+++ b/sloeswitch/rate_budget.py
@@ -19,8 +19,8 @@
 
 
 # The fraction of a full bucket that a request must leave behind for requests of higher priority. Users' requests may
-# overdraw the bucket by half: the jobs of a pipeline are submitted one right after another, and found a bucket that
-# claims had taken down to its reserve, so that the last of them waited for half a second (found on the bench).
+# overdraw the bucket by half: the jobs of a pipeline are submitted one right after another, and claims may have taken
+# the bucket down to its reserve.
 RESERVED_FRACTION = {
     RequestPriority.LEASE: 0.0,
     RequestPriority.USER: -0.5,
--- a/sloeswitch/replica.py
+++ b/sloeswitch/replica.py
@@ -119,7 +119,7 @@
         """The time between linearizable reads, which take at most half of the requests.
 
         With hundreds of jobs polled by users there is always a caller waiting for one, and the claims' own requests
-        waited for seconds behind them (found on the bench).
+        must not wait behind them.
         """
         return REQUESTS_PER_LINEARIZABLE_READ / self.client.request_tokens.rate
 
--- a/sloeswitch/state_client.py
+++ b/sloeswitch/state_client.py
@@ -120,7 +120,7 @@
         """How many changes may go into one transaction of this priority.
 
         More than the bucket holds above what is reserved for higher priorities would overdraw it, and users'
-        submissions waited a second or two for it (found on the bench).
+        submissions would wait for that.
         """
         self._update_rates()
         unreserved_changes = int(self.write_tokens.rate * (1 - RESERVED_FRACTION[priority]))
