--- a/tests/test_commit_adoptions.py
+++ b/tests/test_commit_adoptions.py
@@ -19,6 +19,7 @@
     OWN,
     ROOMY,
     SIBLING,
+    TEAMS,
     THIRD,
     recovered,
     snapshot,
@@ -185,6 +186,23 @@
     assert plan.transaction.writes[keys.team_key("red")] == {OWN: [9.0, 0.0]}
 
 
+def test_a_sibling_cannot_take_what_adopted_tasks_use_after_a_decrease(store: Store) -> None:
+    """Of 20 cores the adopting controller uses 5 and 4 with the adoption, a third one 8."""
+    store.upgraded()
+    store.view(4, ("c0", 1), ("c2", 3))
+    store.job(spec(cores=2.0))
+    store.progress(JOB, c1_2=0b0011)
+    row = keys.team_key("red")
+    store.put(row, {SIBLING: [4.0, 0.0], OWN: [8.0, 0.0], "c2.3": [8.0, 0.0]})
+    decrease = RequestedClaims(quota_decreases={"red": QuotaDecrease(store.tables.mod_revision(row), 5.0, 0.0)})
+    adopting = snapshot(store, {JOB: JobUpdates(adopted=0b0011, adopted_view=4)}, claims=decrease)
+    store.put(row, plan_commit(adopting, []).transaction.writes[row])
+    increase = RequestedClaims(quota_increases={"red": ResourceAmount(20.0, 0.0)})
+    taking = replace(snapshot(store, claims=increase), incarnation_id="c2.3")
+    taken = plan_commit(taking, []).transaction.writes[row]["c2.3"][0]
+    assert taken + 5.0 + 4.0 <= TEAMS["red"].cpus_max
+
+
 def test_adoptions_are_not_grouped_where_decreases_take_the_transaction(store: Store) -> None:
     updates = two_adopted_jobs(store)
     claims = RequestedClaims(quota_decreases={"red": QuotaDecrease(0, 1.0, 0.0)})
