One comparison of usage with an amount; the metrics' families are filled in one place

Whether an amount covers a usage stood in QuotaAllocation.is_short, within_guarantee and, anew, in QuotaLedger.check_usage: quota.is_within serves all three. QuotaChanges asks for a team's stored allocations in one way, and the metrics have one function that fills a family by label.

--- a/sloeswitch/actors/quota_ledger.py
+++ b/sloeswitch/actors/quota_ledger.py
@@ -76,9 +76,7 @@
         incarnation_id = self.leadership.incarnation_id
         for team in self.settings.teams:
             usage, stored = self.usage(team), self.tables.quota_allocation(team, incarnation_id)
-            if usage.cores <= stored.cores + quota.ROUNDING_TOLERANCE and (
-                usage.gpus <= stored.gpus + quota.ROUNDING_TOLERANCE
-            ):
+            if quota.is_within(usage, stored):
                 self.overusing_teams.discard(team)
             elif team not in self.overusing_teams:
                 self.overusing_teams.add(team)
--- a/sloeswitch/core/quota.py
+++ b/sloeswitch/core/quota.py
@@ -128,6 +128,11 @@
     return after
 
 
+def is_within(usage: ResourceUsage | ResourceAmount, amount: ResourceAmount) -> bool:
+    """Whether the amount covers the usage, of cores and of GPUs."""
+    return usage.cores <= amount.cores + ROUNDING_TOLERANCE and usage.gpus <= amount.gpus + ROUNDING_TOLERANCE
+
+
 def within_guarantee(team: Team, cores: float, gpus: float) -> bool:
     """Whether so much lies within what the team is guaranteed."""
-    return cores <= team.cpus + ROUNDING_TOLERANCE and gpus <= team.gpus + ROUNDING_TOLERANCE
+    return is_within(ResourceAmount(cores, gpus), ResourceAmount(team.cpus, team.gpus))
--- a/sloeswitch/core/quota_allocation.py
+++ b/sloeswitch/core/quota_allocation.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from sloeswitch.core.quota import ROUNDING_TOLERANCE, ResourceAmount, ResourceUsage, team_limit
+from sloeswitch.core.quota import ROUNDING_TOLERANCE, ResourceAmount, ResourceUsage, is_within, team_limit
 from sloeswitch.settings import Team
 
 # A limit is scarce when less than this part of it is allocated to nobody.
@@ -60,10 +60,7 @@
     @property
     def is_short(self) -> bool:
         """Whether more could be put to use than is allocated."""
-        return (
-            self.usage.cores > self.allocated.cores + ROUNDING_TOLERANCE
-            or self.usage.gpus > self.allocated.gpus + ROUNDING_TOLERANCE
-        )
+        return not is_within(self.usage, self.allocated)
 
     @property
     def has_unallocated(self) -> bool:
--- a/sloeswitch/core/quota_changes.py
+++ b/sloeswitch/core/quota_changes.py
@@ -77,11 +77,14 @@
     def __contains__(self, team: str) -> bool:
         return team in self._allocations
 
+    def _stored(self, team: str) -> TeamAllocations:
+        return self._tables.quota_allocations.get(team, {})
+
     def _current(self, team: str) -> TeamAllocations:
         """The team's allocations so far, without departed controllers' once no task that those covered can exist."""
         if team in self._allocations:
             return self._allocations[team]
-        stored = self._tables.quota_allocations.get(team, {})
+        stored = self._stored(team)
         if not self._recovery_complete:
             return dict(stored)
         members = self._tables.view.incarnation_ids
@@ -129,7 +132,7 @@
         """The teams whose stored allocations change, for the log."""
         changes = []
         for team, after in self._allocations.items():
-            before = self._tables.quota_allocations.get(team, {})
+            before = self._stored(team)
             if after == before:
                 continue
             reasons = list(self._reasons[team])
@@ -142,7 +145,7 @@
         """Adds the rows of teams whose allocations change, or are to be rewritten; returns whether there is any."""
         has_written = False
         for team, allocations in self._allocations.items():
-            if allocations == self._tables.quota_allocations.get(team, {}) and team not in forced_rewrites:
+            if allocations == self._stored(team) and team not in forced_rewrites:
                 continue
             key = keys.team_key(team)
             transaction.writes[key] = _encode_allocations(allocations)
--- a/sloeswitch/metrics.py
+++ b/sloeswitch/metrics.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from enum import StrEnum
 
 from prometheus_client import CollectorRegistry, generate_latest
@@ -72,15 +72,12 @@
         yield from self._quotas()
 
     def _leadership(self) -> Iterator[Metric]:
-        leadership, replica, membership = (
-            self._context.leadership,
-            self._context.replica,
-            self._machines.membership,
-        )
+        leadership, replica = self._context.leadership, self._context.replica
+        recovered_view = self._machines.membership.recovered_view
         yield _gauge("leader", "Whether this controller may start tasks and store claims.", leadership.is_leader)
         yield _gauge("coordinator", "Whether it writes views and creates machines.", leadership.is_coordinator)
         yield _gauge("view", "The number of the newest view that it has read.", leadership.view.number)
-        yield _gauge("recovered_view", "The last view of which it has stored its recovery.", membership.recovered_view)
+        yield _gauge("recovered_view", "The last view of which it has stored its recovery.", recovered_view)
         yield _gauge(
             "recovery_complete",
             "Whether all members have recovered the newest view.",
@@ -107,9 +104,8 @@
             "outcome",
             {outcome.name.lower(): count for outcome, count in client.transactions_by_outcome.items()},
         )
-        outages = CounterMetricFamily(PREFIX + "state_outages", "How often the state service began not to answer.")
-        outages.add_metric([], client.outages)
-        yield outages
+        text = "How often the state service began not to answer."
+        yield CounterMetricFamily(PREFIX + "state_outages", text, value=client.outages)
         yield _gauge("state_reachable", "Whether the state service answers this controller.", client.is_reachable)
 
     def _shard(self) -> Iterator[Metric]:
@@ -172,14 +168,14 @@
 
 
 def _gauges(name: str, text: str, label: str, values: Mapping[str, float]) -> Metric:
-    family = GaugeMetricFamily(PREFIX + name, text, labels=[label])
-    for key, value in sorted(values.items()):
-        family.add_metric([key], value)
-    return family
+    return _labelled(GaugeMetricFamily(PREFIX + name, text, labels=[label]), values)
 
 
 def _counters(name: str, text: str, label: str, values: Mapping[str, int]) -> Metric:
-    family = CounterMetricFamily(PREFIX + name, text, labels=[label])
+    return _labelled(CounterMetricFamily(PREFIX + name, text, labels=[label]), values)
+
+
+def _labelled(family: GaugeMetricFamily | CounterMetricFamily, values: Mapping[str, float]) -> Metric:
     for key, value in sorted(values.items()):
         family.add_metric([key], value)
     return family
@@ -188,14 +184,7 @@
 def _team_amounts(name: str, text: str, amounts: Mapping[str, ResourceAmount | ResourceUsage]) -> Metric:
     """Cores and GPUs by team."""
     family = GaugeMetricFamily(f"{PREFIX}team_{name}", f"{text} In cores and GPUs.", labels=["team", "resource"])
-    for team, resource, value in _resources(amounts.items()):
-        family.add_metric([team, resource], value)
+    for team, amount in sorted(amounts.items()):
+        family.add_metric([team, "cores"], amount.cores)
+        family.add_metric([team, "gpus"], amount.gpus)
     return family
-
-
-def _resources(
-    amounts: Iterable[tuple[str, ResourceAmount | ResourceUsage]],
-) -> Iterator[tuple[str, str, float]]:
-    for team, amount in sorted(amounts, key=lambda pair: pair[0]):
-        yield team, "cores", amount.cores
-        yield team, "gpus", amount.gpus
