A cancelled task is gone in time however its hung machine changes owners

Callers saw a job called withdrawn whose task was still on a machine after cancel_s, where the machine hung and its owner changed every few seconds.

Cause: the deadline was stored with the job, but the evidence needed to act on it belonged to one ownership: the wait for silence began with each takeover, the autoscaler dropped the request with the ownership, and inspections were cleared whenever somebody could answer machines. A cancellation without a stored time, or known from a sibling only, had no deadline for a new owner at all.

Every leader watches machines that their owners have not accounted for, across views and owners, asks them itself and has those deleted that twice do not answer. The owner's wait begins when its process got the machine. Machines that answer under whatever token, were not asked yet, cannot hold the task by claims or constraints stay, and all do while no machine at all is heard.

--- a/sloeswitch/actors/cancelled_tasks.py
+++ b/sloeswitch/actors/cancelled_tasks.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from sloeswitch.actors.cancellation_watch import CancellationWatch
 from sloeswitch.actors.commands import CommandSender
 from sloeswitch.actors.shard_state import ShardState
 from sloeswitch.core.machine import Attempt, Machine
@@ -14,12 +15,13 @@
 class CancelledTasks:
     """Stops tasks of jobs that are cancelled or gone, and records since when machines have held any."""
 
-    def __init__(self, shard: ShardState, commands: CommandSender) -> None:
+    def __init__(self, shard: ShardState, commands: CommandSender, cancellations: CancellationWatch) -> None:
         self.tables = shard.context.tables
         self.clock = shard.context.clock
         self.registry = shard.registry
         self.task_updates = shard.task_updates
         self.commands = commands
+        self.cancellations = cancellations
 
     def stop_all(self) -> None:
         """Releases claims of cancelled jobs on tasks that are nowhere, and stops those that are on machines."""
@@ -62,10 +64,10 @@
     def _record_cancelled(self, machine: Machine, attempt: Attempt, job: Job | None, now: float) -> None:
         """Records since when a task has been on the machine whose user may know of its cancellation.
 
-        That is by our own clock; the time that is stored with the cancellation holds over changes of owner.
+        That is by our own clock; the time of the cancellation holds over changes of owner.
         """
         attempt.killed_at = attempt.killed_at or now
         since = attempt.killed_at
-        if job is not None and job.cancelled_ms:
-            since = min(since, now - max(0, self.clock.wall_clock_ms() - job.cancelled_ms) / 1000)
+        if job is not None:
+            since = min(since, now - self.cancellations.age_s(job, now))
         machine.cancelled_since = min(since, now if machine.cancelled_since is None else machine.cancelled_since)
--- a/sloeswitch/actors/commands.py
+++ b/sloeswitch/actors/commands.py
@@ -80,6 +80,11 @@
         self._sockets = anyio.Semaphore(max(1, int(settings.fd_limit * SOCKETS_SHARE)))
         # Machines for which a command waits for a socket: it will carry all that is to be stopped by then.
         self._waiting: set[str] = set()
+        # When the content of the last command to a machine was fixed, and when a machine answered one last.
+        self._begun_at: dict[str, float] = {}
+        self._replied_at: dict[str, float] = {}
+        # Machines whose invalid answers to inspections were logged.
+        self._invalid_inspections: set[str] = set()
 
     def send(self, machine: Machine) -> None:
         """Sends the machine what is to be stopped on it, unless a command for it waits already.
@@ -106,31 +111,54 @@
         self.probe_at[machine.name] = now + self.settings.lease_s
         self.send(machine)
 
-    def inspect(self, name: str, address: str) -> None:
-        """Asks a machine what it holds. That needs no leadership: it changes nothing there."""
-        self.spawn(self._inspect, name, address)
+    def inspect(self, name: str, address: str, is_wanted: Callable[[str], bool]) -> None:
+        """Asks a machine what it holds, if that is still wanted once there is a socket for it.
+
+        That needs no leadership: it changes nothing there.
+        """
+        self.spawn(self._inspect, name, address, is_wanted)
+
+    def awaits_first_answer(self, machine: str, now: float) -> bool:
+        """Whether a command to the machine waits for a socket or for its answer, and none has failed before it."""
+        is_open = machine in self._waiting or now < self._begun_at.get(machine, float("-inf")) + self.timeout_s
+        return is_open and not self.failures.get(machine)
 
     def record_reply(self, machine: str) -> None:
         """The machine reported: earlier failures count no more."""
         self.failures.pop(machine, None)
 
+    def record_alive(self, machine: str) -> None:
+        """The machine answered a command, whatever its answer is worth: it does not hang."""
+        self._replied_at[machine] = self.now()
+
+    def replied_at(self, machine: str) -> float:
+        """When the machine answered a command last, in seconds of the clock."""
+        return self._replied_at.get(machine, float("-inf"))
+
     def forget(self, machine: str) -> None:
         """The machine is gone."""
         self.failures.pop(machine, None)
         self.probe_at.pop(machine, None)
+        self._begun_at.pop(machine, None)
+        self._replied_at.pop(machine, None)
+        self._invalid_inspections.discard(machine)
 
     def record_begun(self, machine: Machine) -> None:
         """The content of a command is being fixed: what is decided from here on needs another one."""
         self._waiting.discard(machine.name)
+        self._begun_at[machine.name] = self.now()
 
     def record_failure(self, machine: Machine) -> None:
         """A command found no answer."""
         self.failures[machine.name] = self.failures.get(machine.name, 0) + 1
 
     def record_ended(self, machine: Machine) -> None:
-        """A command is over, answered or not."""
-        if self.registry.machines.get(machine.name) is machine:
+        """A command is over, answered or not; a machine that was released meanwhile is probed anew if it comes back."""
+        self._waiting.discard(machine.name)
+        if machine.name in self.registry.machines:
             self.probe_at[machine.name] = self.now() + self.settings.report_s / 4
+        else:
+            self.probe_at.pop(machine.name, None)
 
     async def _command(self, machine: Machine) -> None:
         """Sends one command once there is a socket for it, and records how it went."""
@@ -143,7 +171,6 @@
         except (wire.MalformedError, ValueError, InboxFullError) as error:
             log.error("invalid answer to a command: machine=%s error=%s", machine.name, error)
         finally:
-            self.record_begun(machine)
             self.record_ended(machine)
 
     async def _send_commands(self, machine: Machine) -> None:
@@ -167,22 +194,32 @@
                 return
             agent_epoch = report.agent_epoch
 
-    async def _inspect(self, name: str, address: str) -> None:
+    async def _inspect(self, name: str, address: str, is_wanted: Callable[[str], bool] = lambda _name: True) -> None:
         report: wire.WorkerReport | None = None
         try:
             async with self._sockets:
+                if not is_wanted(name):
+                    return
                 reply = await self._client(address).request("GET", "/inspect", None, self.timeout_s)
             if reply.status == 200:
                 report = wire.decode(reply.body, wire.WorkerReport)
         except HttpTransportError:
             pass
         except (wire.MalformedError, ValueError) as error:
-            log.error("invalid answer to an inspection: machine=%s error=%s", name, error)
+            # It does not hang, and says nothing of what it holds.
+            self._log_invalid_inspection(name, error)
+            return
         try:
             self.deliver(InspectionReply(name, report))
         except InboxFullError:
             log.debug("inspection reply dropped: machine=%s reason=inbox-full", name)
 
+    def _log_invalid_inspection(self, machine: str, error: Exception) -> None:
+        """Once for each machine: a broken one says the same each time."""
+        if machine not in self._invalid_inspections:
+            self._invalid_inspections.add(machine)
+            log.error("invalid answer to an inspection: machine=%s error=%s", machine, error)
+
     @staticmethod
     def _client(address: str) -> Client:
         """A client for one request.
--- a/sloeswitch/actors/heartbeat_handler.py
+++ b/sloeswitch/actors/heartbeat_handler.py
@@ -104,6 +104,7 @@
 
     def apply_command_reply(self, report: wire.WorkerReport) -> None:
         """Reconciles a machine's answer to a direct command with the registry, unless the view has changed since."""
+        self.commands.record_alive(report.machine)
         machine = self.registry.machines.get(report.machine)
         followed_view = self.ownership.followed_view
         if machine is None or followed_view != self.leadership.view.number:
@@ -129,6 +130,7 @@
                 report.zone,
                 report.spot,
                 owned_since_token=self.leadership.view.number,
+                watched_since=now,
                 lease_expires_at=now + self.settings.worker_gone_s,
             )
         )
--- a/sloeswitch/actors/machine_monitor.py
+++ b/sloeswitch/actors/machine_monitor.py
@@ -9,18 +9,21 @@
 import logging
 from collections.abc import Callable
 
-from sloeswitch.actors.cancellation_watch import CancellationWatch
+from sloeswitch.actors.cancellation_watch import (
+    NETWORK_FAULT_MIN_MACHINES,
+    CancellationWatch,
+    CancelledTaskWait,
+    is_holder,
+)
 from sloeswitch.actors.commands import CommandSender
 from sloeswitch.actors.machine_termination import MachineTermination, TerminationReason
 from sloeswitch.actors.shard_state import ShardState
-from sloeswitch.core.cancellation_guard import OVERDUE_SHARE
 from sloeswitch.core.machine import AttemptState, Machine
 
 log = logging.getLogger("machines")
 
 # With this part of more than so many machines out of contact at once, our own network is the likely reason.
 NETWORK_FAULT_SHARE = 0.75
-NETWORK_FAULT_MIN_MACHINES = 3
 # A silent machine is deleted only after this many direct commands found no answer.
 DELETE_AFTER_FAILED_COMMANDS = 2
 
@@ -46,8 +49,7 @@
         self.cancellations = cancellations
         self.termination = termination
         self.wake = wake
-        # For so long a machine may be silent, or messages arrive in one direction only, before it is deleted.
-        self.max_silence_s = max(3.5 * context.settings.report_s, 0.35 * context.settings.lease_s)
+        # For so long messages may arrive in one direction only before a machine is deleted.
         self.max_one_way_s = 2 * context.settings.lease_s
         self.next_check_at = 0.0
         self.ticked_at = float("-inf")
@@ -109,12 +111,14 @@
             one_way_s: For how long messages have arrived in one direction only, at most.
             now: The clock's time in seconds.
         """
-        silent = silent_s > self.max_silence_s
-        if self._may_hold_cancelled(machine, now, silent) and self.leadership.may_answer_workers:
+        silent = silent_s > self.settings.max_silence_s
+        wait = self._overdue_wait(machine, now) if self.leadership.may_answer_workers else None
+        if wait is not None:
             # Whether it hangs, is cut off or receives nothing: its deletion ends what is on it in time, also while
             # the state service is down. Should it have got another owner after all, that one counts it as silent:
             # work is lost, nothing is started twice.
             self.termination.drain_and_scale_in(machine, TerminationReason.CANCELLED_TASKS, pressing=True)
+            self.cancellations.log_overdue(wait)
         failed_commands = self.commands.failures.get(machine.name, 0)
         if (
             silent
@@ -132,15 +136,34 @@
             if not machine.attempts:
                 self.termination.drain_and_scale_in(machine, TerminationReason.FAULTY)
 
-    def _may_hold_cancelled(self, machine: Machine, now: float, silent: bool) -> bool:
-        """Whether a cancelled task may be on the machine that must be gone soon.
+    def _overdue_wait(self, machine: Machine, now: float) -> CancelledTaskWait | None:
+        """The cancelled task that is on the machine, or may be, and must be gone soon.
 
-        Nothing is known of what is on a machine that was taken over and does not report. Guards against one that hangs
-        with a cancelled task while its owner changes and the state service is down.
+        Nothing is known of what is on a machine that was taken over and does not respond. Guards against one that hangs
+        with a cancelled task while its owner changes.
         """
-        if machine.cancelled_since is not None:
-            return now - machine.cancelled_since > OVERDUE_SHARE * self.settings.cancel_s
-        return self.cancellation_overdue and not machine.reconciled and silent
+        if is_holder(machine):
+            overdue = self.cancellations.is_holding_overdue(machine, now)
+            return self.cancellations.holder_wait(machine, now) if overdue else None
+        if not self.cancellation_overdue or machine.reconciled or not self._is_unresponsive(machine, now):
+            return None
+        if self.cancellations.is_network_suspected(now):
+            return None
+        return self.cancellations.unreconciled_wait(machine)
+
+    def _is_unresponsive(self, machine: Machine, now: float) -> bool:
+        """Whether the machine gave no sign of life for as long as it was ours, and had the time to.
+
+        A change of the view does not begin this time anew. What waits for a socket has not been asked yet.
+        """
+        since = max(
+            machine.last_heard_at,
+            machine.answered_at,
+            machine.watched_since,
+            self.commands.replied_at(machine.name),
+            self.answering_since,
+        )
+        return now - since > self.settings.max_silence_s and not self.commands.awaits_first_answer(machine.name, now)
 
     def _most_machines_lost(self, now: float) -> bool:
         """Whether most machines are silent or unreachable at once.
--- a/sloeswitch/actors/machine_termination.py
+++ b/sloeswitch/actors/machine_termination.py
@@ -27,9 +27,9 @@
     UNREACHABLE = "unreachable"
     # Tasks failed on it again and again.
     FAULTY = "faulty"
-    # It may hold tasks that were cancelled some time ago; the second: and no controller may answer it.
+    # It may hold tasks that were cancelled some time ago; the second: and no owner has accounted for it.
     CANCELLED_TASKS = "cancelled-tasks"
-    CANCELLED_TASKS_LEADERLESS = "cancelled-tasks-leaderless"
+    CANCELLED_TASKS_UNACCOUNTED = "cancelled-tasks-unaccounted"
 
 
 class MachineTermination:
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -90,7 +90,7 @@
         self.heartbeats = HeartbeatHandler(shard, self.ownership, self.task_placement, self.commands, self._wake)
         self.monitor = MachineMonitor(shard, self.commands, self.cancellations, self.termination, self._wake)
         self.surplus_drain = SurplusDrain(shard, self.task_placement, self.commands)
-        self.cancelled_tasks = CancelledTasks(shard, self.commands)
+        self.cancelled_tasks = CancelledTasks(shard, self.commands, self.cancellations)
         self.claims = ClaimRequester(shard, self.task_placement, jobs, self._spawn, self._wake)
 
     # -- messages
@@ -104,6 +104,7 @@
             self._tick()
             message.reply(None)
         elif isinstance(message, CommandReply):
+            self.cancellations.any_heard_at = self.now()
             self.heartbeats.apply_command_reply(message.report)
         elif isinstance(message, InspectionReply):
             self.cancellations.apply_inspection(message, self.now())
@@ -167,7 +168,7 @@
         """Forgets what the tables show by now: recovered tasks, failures of ended jobs, stored updates."""
         if self.tables.recovery_complete():
             self._log_recovery()
-            self.registry.handed_off_tasks.clear()
+            self.registry.settle_handed_off()
         self.registry.prune_handed_off(self.tables, self.leadership.incarnation_id)
         self.quota.update_handed_off_usage()
         if self.registry.adoptions_stored(self.tables, self.leadership.incarnation_id):
--- a/sloeswitch/actors/scale_in.py
+++ b/sloeswitch/actors/scale_in.py
@@ -101,9 +101,12 @@
                 del self.terminating[name]
 
     def _may_terminate(self, machine: str) -> bool:
-        if self.terminating[machine].listed:
+        termination = self.terminating[machine]
+        if termination.listed:
             return self.leadership.is_coordinator
-        return self.leadership.owner_of(machine) == self.settings.member
+        if self.leadership.owner_of(machine) == self.settings.member:
+            return True
+        return termination.urgent and self.machines is not None and self.machines.cancellations.is_deletable(machine)
 
     def _next_batch(self) -> list[str]:
         """What may be deleted now, the urgent first; the others only by a leader."""
--- a/sloeswitch/core/cancellation_guard.py
+++ b/sloeswitch/core/cancellation_guard.py
@@ -1,40 +1,81 @@
-"""Which machines have to be deleted while no controller may answer machines: those that may hold cancelled tasks.
+"""Which machines are deleted since a cancelled task may be on them: one rule, for whoever knows the cancellation.
 
-When a controller restarts while the state service is down, it confirms nothing to its siblings, so that nobody may
-answer machines any more (see *Cancellations in an outage* in docs/design.md). Workers then drop their tasks when their
-leases end, but a machine that hangs keeps what is on it until it goes on. Any controller that knows of the cancellation
-asks such machines what they hold, and has those deleted that still hold it or do not answer.
+A worker that merely hears nothing gives its tasks up when its lease ends; a machine that hangs keeps them until it goes
+on. So a machine is deleted once half of the time is over in which the task must be gone, if it holds one, or if one may
+be on it, its owner has not accounted for it, and it does not answer. The time counts from the cancellation alone: what
+is known of machines that do not answer outlasts views, leases and changes of owner (see *Cancelled tasks on machines
+that hang* in docs/design.md).
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from sloeswitch.core import keys
-from sloeswitch.core.machine import AttemptState
+from sloeswitch.core.machine import AttemptState, Machine
+from sloeswitch.core.placement import MachineAttributes, satisfies_constraints
 from sloeswitch.core.records import Job
 from sloeswitch.core.tables import Tables
 from sloeswitch.settings import Settings
 from sloeswitch.wire import MalformedError, WorkerReport, split_task
 
-# A machine on which a cancelled task may be is deleted after this part of the time in which the task must be gone.
-# By then a worker that merely hears nothing has given up by its lease; the rest is for the cloud's rate and retries.
+# From this part of the time on in which a cancelled task must be gone, machines that may hold one are watched.
+SUSPECT_SHARE = 0.25
+# From this part on such a machine is deleted. By then a worker that merely hears nothing has given up by its lease; the
+# rest is for the cloud's rate and retries.
 OVERDUE_SHARE = 0.5
+# From this part on a machine is inspected as soon as it is suspected, without leaving its owner the time for it.
+PRESSING_SHARE = 0.6
 # Inspections in a row without an answer after which a machine is deleted.
 MAX_FAILED_INSPECTIONS = 2
 
 
-def is_cancellation_overdue(job: Job, cancel_s: float, wall_clock_ms: int) -> bool:
-    """Whether the job was cancelled longer ago than a part of the time allowed, and still has claims.
+class Cancellation(NamedTuple):
+    """A cancelled job of which tasks may exist.
 
-    Args:
-        job: Any job.
-        cancel_s: The time in which a cancelled task must be gone.
-        wall_clock_ms: The time of day, which the stored time of the cancellation is compared with.
+    Attributes:
+        job: The job's id.
+        row: Its stored row; None where only a sibling reported the cancellation: then nothing is known of its claims.
+        age_s: For how long it has been cancelled.
     """
-    latest_ms = wall_clock_ms - 1000 * OVERDUE_SHARE * cancel_s
-    return job.is_cancelled and bool(job.progress.claims) and 0 < job.cancelled_ms < latest_ms
+
+    job: str
+    row: Job | None
+    age_s: float
+
+    def may_be_on(self, machine: MachineAttributes, incarnation_id: str, formerly_owned: bool) -> bool:
+        """Whether a task of it can be on a machine that nobody has accounted for, as far as stored claims tell.
+
+        A task is claimed by the incarnation that owned its machine when it was started, until it is adopted.
+
+        Args:
+            machine: The machine.
+            incarnation_id: The incarnation that asks.
+            formerly_owned: Whether that incarnation has owned the machine under an earlier view.
+        """
+        if self.row is None:
+            return True
+        return satisfies_constraints(self.row.spec, machine) and any(
+            formerly_owned or holder != incarnation_id for holder in self.row.progress.claims
+        )
+
+
+class OwnShard(NamedTuple):
+    """What a controller knows of machines by owning them, or having owned them.
+
+    Attributes:
+        member: The controller.
+        incarnation_id: Its present incarnation.
+        machines: Those that it owns, by name.
+        released: Names of those that this incarnation has owned and released.
+    """
+
+    member: str
+    incarnation_id: str
+    machines: dict[str, Machine]
+    released: set[str]
 
 
 @dataclass
@@ -54,29 +95,65 @@
 
 @dataclass
 class CancellationGuard:
-    """Owns the inspections that are under way; called by `actors.cancellation_watch` only.
+    """Owns the inspections that are under way, and since when cancellations are known.
 
-    Has no clock: `now` is in seconds of the controller's monotonic clock.
+    Called by `actors.cancellation_watch` only. Has no clock: `now` is in seconds of the controller's monotonic clock.
     """
 
     settings: Settings
     # By machine.
     inspections: dict[str, Inspection] = field(default_factory=dict)
-    # When a cancellation whose time is not stored was first seen here, by job.
+    # When a cancellation was first seen here, by job.
     _observed_at: dict[str, float] = field(default_factory=dict)
+    # Since when each machine has been suspected without a break.
+    _suspected_since: dict[str, float] = field(default_factory=dict)
+
+    # -- cancellations
 
     def observe(self, tables: Tables, now: float) -> None:
-        """Notes since when cancellations are known that no row dates: those learnt from a sibling."""
-        undated = set(tables.peer_cancellations)
-        self._observed_at = {job: self._observed_at.get(job, now) for job in undated}
+        """Notes since when each cancellation is known here whose tasks may exist.
+
+        Guards against a stored time that is missing or in the future, and against a cancellation that is known from a
+        sibling only: none of them may disarm the deadline.
+        """
+        known = set(tables.peer_cancellations)
+        known.update(name for name, job in tables.jobs.items() if job.is_cancelled and job.progress.claims)
+        self._observed_at = {job: self._observed_at.get(job, now) for job in known}
+
+    def age_s(self, name: str, job: Job | None, now: float, wall_clock_ms: int) -> float:
+        """For how long a job has been cancelled: by the stored time, or since it is known here if that is longer."""
+        observed_s = now - self._observed_at.get(name, now)
+        if job is None or job.cancelled_ms <= 0:
+            return observed_s
+        return max(observed_s, (wall_clock_ms - job.cancelled_ms) / 1000)
+
+    def cancellations(self, tables: Tables, now: float, wall_clock_ms: int, share: float) -> list[Cancellation]:
+        """Cancellations older than a share of the time in which their tasks must be gone, the oldest first."""
+        old: list[Cancellation] = []
+        for name, job in tables.jobs.items():
+            if job.is_cancelled and job.progress.claims:
+                old.append(Cancellation(name, job, self.age_s(name, job, now, wall_clock_ms)))
+        for name in tables.peer_cancellations:
+            if name not in tables.jobs:
+                old.append(Cancellation(name, None, self.age_s(name, None, now, wall_clock_ms)))
+        old = [each for each in old if each.age_s >= share * self.settings.cancel_s]
+        return sorted(old, key=lambda each: -each.age_s)
+
+    # -- machines that may hold cancelled tasks
 
     def suspects(self, tables: Tables, incarnation_id: str, now: float, wall_clock_ms: int) -> set[str]:
-        """Machines whose tasks may include cancelled ones that are overdue.
+        """Machines whose tasks may include cancelled ones that are overdue, while nobody may answer machines.
 
         Only as far as that does not follow from this incarnation's own registry. What a controller that left the view
         had claimed may be on any machine.
         """
-        incarnation_ids = self._suspected_incarnations(tables, now, wall_clock_ms) - {incarnation_id}
+        incarnation_ids: set[str] = set()
+        for each in self.cancellations(tables, now, wall_clock_ms, OVERDUE_SHARE):
+            # Without a row nothing is known of its claims: any controller may have some.
+            incarnation_ids.update(tables.view.incarnation_ids if each.row is None else each.row.progress.claims)
+        incarnation_ids -= {incarnation_id}
+        if not incarnation_ids:
+            return set()
         if not incarnation_ids <= tables.view.incarnation_ids:
             return set(tables.machines)
         members = {
@@ -84,22 +161,46 @@
             for name, incarnation in tables.view.members
             if keys.incarnation_id_of(name, incarnation) in incarnation_ids
         }
-        return {name for name in tables.machines if tables.view.owner(name) in members} if members else set()
+        return {name for name in tables.machines if tables.view.owner(name) in members}
 
-    def _suspected_incarnations(self, tables: Tables, now: float, wall_clock_ms: int) -> set[str]:
-        """Incarnations of controllers that hold claims of overdue cancelled jobs."""
-        cancel_s = self.settings.cancel_s
-        incarnation_ids: set[str] = set()
-        for job in tables.jobs.values():
-            if is_cancellation_overdue(job, cancel_s, wall_clock_ms):
-                incarnation_ids.update(job.progress.claims)
-        for name, observed_at in self._observed_at.items():
-            if now - observed_at < OVERDUE_SHARE * cancel_s:
+    def unaccounted(
+        self, tables: Tables, shard: OwnShard, cancellations: list[Cancellation]
+    ) -> dict[str, Cancellation]:
+        """Machines that their owners have not accounted for, with the oldest cancellation that may concern them.
+
+        Args:
+            tables: The replicated tables, read afresh a short while ago.
+            shard: What this controller knows of machines.
+            cancellations: The oldest first.
+        """
+        if not cancellations:
+            return {}
+        found: dict[str, Cancellation] = {}
+        unrecovered = tables.unrecovered_members() - {shard.member}
+        for name, row in tables.machines.items():
+            own = shard.machines.get(name)
+            if own is not None:
+                unaccounted, formerly_owned = not own.reconciled, own.formerly_owned
+            else:
+                unaccounted, formerly_owned = tables.view.owner(name) in unrecovered, name in shard.released
+            if not unaccounted:
                 continue
-            job_row = tables.jobs.get(name)
-            # Without a row nothing is known of its claims: any controller may have some.
-            incarnation_ids.update(tables.view.incarnation_ids if job_row is None else job_row.progress.claims)
-        return incarnation_ids
+            concerned = first_cancellation(cancellations, row, shard.incarnation_id, formerly_owned)
+            if concerned is not None:
+                found[name] = concerned
+        return found
+
+    def due_suspects(self, unaccounted: dict[str, Cancellation], now: float) -> set[str]:
+        """Machines to be inspected: their owners had the time of a report to account for them, or none is left."""
+        self._suspected_since = {name: self._suspected_since.get(name, now) for name in unaccounted}
+        pressing_s = PRESSING_SHARE * self.settings.cancel_s
+        return {
+            name
+            for name, cancellation in unaccounted.items()
+            if cancellation.age_s >= pressing_s or now - self._suspected_since[name] >= self.settings.late_s
+        }
+
+    # -- inspections
 
     def begin_inspections(self, suspects: Iterable[str], now: float) -> list[str]:
         """Those of the suspects that are to be asked now; forgets machines that are suspected no more."""
@@ -136,9 +237,28 @@
         """Machines that are to be deleted."""
         return [name for name, inspection in self.inspections.items() if inspection.deletable]
 
-    def clear(self) -> None:
-        """Somebody may answer machines again, and decides for those that are its own."""
-        self.inspections.clear()
+    def is_inspected(self, machine: str) -> bool:
+        """Whether the machine is suspected still."""
+        return machine in self.inspections
+
+    def is_deletable(self, machine: str) -> bool:
+        """Whether the machine is to be deleted."""
+        inspection = self.inspections.get(machine)
+        return inspection is not None and inspection.deletable
+
+    def suspend(self) -> None:
+        """Who accounts for machines is not known here for now: what was found has to be confirmed once more."""
+        for inspection in self.inspections.values():
+            inspection.failures = min(inspection.failures, MAX_FAILED_INSPECTIONS - 1)
+            inspection.deletable = False
+            inspection.inspect_at = float("-inf")
+
+
+def first_cancellation(
+    cancellations: list[Cancellation], machine: MachineAttributes, incarnation_id: str, formerly_owned: bool
+) -> Cancellation | None:
+    """The first cancellation of which a task may be on a machine that nobody has accounted for; see `may_be_on`."""
+    return next((each for each in cancellations if each.may_be_on(machine, incarnation_id, formerly_owned)), None)
 
 
 def holds_cancelled(report: WorkerReport, tables: Tables) -> bool:
--- a/sloeswitch/core/machine.py
+++ b/sloeswitch/core/machine.py
@@ -115,6 +115,9 @@
     expired_agent_epoch: int = 0
     # Reports under tokens from here on are ours: we have owned the machine since that view.
     owned_since_token: int = 0
+    # Since when this process has owned it without a break that it knows of, and whether it did so before this.
+    watched_since: float = float("-inf")
+    formerly_owned: bool = False
     reconciled: bool = False
     # Nothing of an earlier owner can be on it any more.
     accounted_for: bool = False
--- a/sloeswitch/core/machine_registry.py
+++ b/sloeswitch/core/machine_registry.py
@@ -44,6 +44,7 @@
         handed_off_tasks: Tasks of ours that were on machines which moved to another owner; nowhere else until they
             are settled.
         adopting: Tasks found on machines that were taken over, whose adoption may not be stored yet.
+        released: Machines that this incarnation has owned and that have another owner now, by name.
     """
 
     def __init__(self) -> None:
@@ -52,6 +53,7 @@
         self.team_usage: dict[str, ResourceUsage] = {}
         self.handed_off_tasks: dict[str, int] = {}
         self.adopting: dict[str, int] = {}
+        self.released: set[str] = set()
 
     # -- ownership
 
@@ -62,15 +64,19 @@
         self.team_usage = {}
         self.handed_off_tasks = {}
         self.adopting = {}
+        self.released = set()
 
     def add_machine(self, machine: Machine) -> Machine:
         """Takes in a machine that is ours from its `owned_since_token` on."""
         self.machines[machine.name] = machine
+        machine.formerly_owned = machine.name in self.released
+        self.released.discard(machine.name)
         return machine
 
     def mark_unreconciled(self, machine: Machine, token: int, lease_expires_at: float) -> None:
         """The machine may have had another owner in between: what is on it must be reported again."""
         self._hand_off_attempts(machine)
+        machine.formerly_owned = True
         machine.owned_since_token = token
         machine.reconciled = machine.accounted_for = False
         machine.reported_at = None
@@ -82,6 +88,7 @@
     def release_machine(self, name: str) -> None:
         """The machine has another owner from now on."""
         machine = self.machines.pop(name)
+        self.released.add(name)
         self._hand_off_attempts(machine)
 
     def _hand_off_attempts(self, machine: Machine) -> None:
@@ -124,6 +131,11 @@
             else:
                 del self.handed_off_tasks[name]
 
+    def settle_handed_off(self) -> None:
+        """All members have recovered: what was on machines that moved to other owners is accounted for there."""
+        self.handed_off_tasks.clear()
+        self.released.clear()
+
     # -- attempts
 
     def add_attempt(self, machine: Machine, attempt: Attempt) -> None:
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from sloeswitch.core import taskset
 from sloeswitch.core.health import Health
@@ -75,12 +75,28 @@
     capacity: FreeCapacity
 
 
-def satisfies_constraints(spec: JobSpec, capacity: FreeCapacity) -> bool:
+class MachineAttributes(Protocol):
+    """What jobs choose machines by."""
+
+    @property
+    def type(self) -> str:
+        """The name of the machine's type."""
+
+    @property
+    def zone(self) -> str:
+        """The zone that it is in."""
+
+    @property
+    def spot(self) -> bool:
+        """Whether the cloud may take it back."""
+
+
+def satisfies_constraints(spec: JobSpec, machine: MachineAttributes) -> bool:
     """Whether the job may run on such a machine, by the types, the zone and the spot machines that it accepts."""
     return (
-        (spec.types is None or capacity.type in spec.types)
-        and (spec.zone is None or spec.zone == capacity.zone)
-        and (spec.spot or not capacity.spot)
+        (spec.types is None or machine.type in spec.types)
+        and (spec.zone is None or spec.zone == machine.zone)
+        and (spec.spot or not machine.spot)
     )
 
 
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -93,12 +93,17 @@
 
         From then on a task claimed by a controller outside the view, and adopted by nobody, runs nowhere.
         """
-        return bool(self.view.members) and all(
-            (row := self.members.get(member)) is not None
-            and row.incarnation == incarnation
-            and row.recovered_view == self.view.number
+        return bool(self.view.members) and not self.unrecovered_members()
+
+    def unrecovered_members(self) -> set[str]:
+        """The members of the view that have not stored that all their machines are accounted for under it."""
+        return {
+            member
             for member, incarnation in self.view.members
-        )
+            if (row := self.members.get(member)) is None
+            or row.incarnation != incarnation
+            or row.recovered_view != self.view.number
+        }
 
     def void_claim_holders(self, job: Job) -> list[str]:
         """The incarnation ids whose claims on a job are void; only valid while `recovery_complete()`."""
--- a/sloeswitch/metrics.py
+++ b/sloeswitch/metrics.py
@@ -22,6 +22,8 @@
 from sloeswitch.wire import split_task
 
 PREFIX = "sloeswitch_"
+# Machines that are listed by name in one answer, at most.
+MAX_LISTED_MACHINES = 20
 
 
 class MachineCondition(StrEnum):
@@ -69,6 +71,7 @@
         yield from self._leadership()
         yield from self._state_service()
         yield from self._shard()
+        yield from self._cancelled_tasks()
         yield from self._quotas()
 
     def _leadership(self) -> Iterator[Metric]:
@@ -125,6 +128,19 @@
             tasks,
         )
 
+    def _cancelled_tasks(self) -> Iterator[Metric]:
+        waits = self._machines.cancellations.waits(self._context.clock.now())
+        family = GaugeMetricFamily(
+            PREFIX + "cancelled_task_wait_seconds",
+            "Machines on which a cancelled task is or may be: for how long its job has been cancelled.",
+            labels=["machine", "job"],
+        )
+        for wait in waits[:MAX_LISTED_MACHINES]:
+            family.add_metric([wait.machine, wait.job], wait.cancelled_s)
+        yield family
+        text = "How many machines there are on which a cancelled task is or may be."
+        yield _gauge("cancelled_task_machines", text, len(waits))
+
     def _quotas(self) -> Iterator[Metric]:
         context, ledger = self._context, self._machines.quota
         teams = context.settings.teams
--- a/sloeswitch/settings.py
+++ b/sloeswitch/settings.py
@@ -21,6 +21,9 @@
 MIN_CONTROLLER_LEASE_S = 0.1
 # Report intervals after which a machine that was not heard has missed a report, the spread of the interval allowed for.
 MISSED_REPORT_INTERVALS = 2.2
+# A machine may be silent for so many of its report intervals, and for this share of a worker's lease.
+MAX_SILENCE_REPORT_INTERVALS = 3.5
+MAX_SILENCE_LEASE_SHARE = 0.35
 # Added to the end of a worker's lease before its tasks count as gone.
 LEASE_END_MARGIN_S = 0.1
 
@@ -141,6 +144,11 @@
         """After this long without a report, one of the machine's reports was missed."""
         return MISSED_REPORT_INTERVALS * self.report_s
 
+    @property
+    def max_silence_s(self) -> float:
+        """For so long a machine may neither report nor be answered before it counts as not responding."""
+        return max(MAX_SILENCE_REPORT_INTERVALS * self.report_s, MAX_SILENCE_LEASE_SHARE * self.lease_s)
+
     @property
     def worker_gone_s(self) -> float:
         """After this long without an answer a worker has certainly dropped its tasks."""
--- a/tests/support/cluster_cloud.py
+++ b/tests/support/cluster_cloud.py
@@ -16,6 +16,11 @@
 class ScriptedTaskGroup:
     """Registrations are stored at once; direct commands arrive in a troubled world only."""
 
+    # Draws below these are late, arrive, and are answered.
+    late_share, arriving_share, answered_share = 0.2, 0.9, 0.8
+    # Which part of the inspections is lost.
+    lost_inspections = 0.1
+
     def __init__(self, node: Node) -> None:
         self.node = node
         self.pending: list[tuple[Any, tuple[Any, ...]]] = []
@@ -32,7 +37,7 @@
         """A question for a machine's tasks: answered, or lost. It changes nothing there."""
         worker = self.node.world.worker(machine)
         self.node.world.recorder.record("inspection", self.node.settings.member, machine)
-        lost = worker is None or worker.hung or worker.deaf or self.node.world.rng.random() < 0.1
+        lost = worker is None or worker.hung or worker.deaf or self.node.world.rng.random() < self.lost_inspections
         self.node.inbox.append(InspectionReply(machine, None if lost or worker is None else worker.report()))
 
     def command(self, machine: Machine) -> None:
@@ -50,12 +55,12 @@
         wait_s = min(2.0, node.settings.lease_s / 6)
         node.machines.commands.probe_at[machine.name] = world.clock.time + wait_s + node.settings.report_s / 4
         luck = world.rng.random()
-        if luck < 0.2 or worker.hung:
+        if luck < self.late_share or worker.hung:
             at = world.clock.time + 2 + 14 * world.rng.random()
             world.late.append((at, lambda: worker.command(message, late=True)))
-        elif luck < 0.9 and not worker.deaf:
+        elif luck < self.arriving_share and not worker.deaf:
             worker.command(message)
-            if luck < 0.8:
+            if luck < self.answered_share:
                 node.inbox.append(CommandReply(worker.report()))
                 return
         commands.record_failure(machine)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -10,13 +10,16 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, NamedTuple
 
 import anyio
 
 from sloeswitch import wire
+from sloeswitch.actors.commands import CommandReply, InspectionReply
 from sloeswitch.actors.machine_messages import HeartbeatRequest, InstancesDeleted
 from sloeswitch.core import keys
+from sloeswitch.core.cancellation_guard import OVERDUE_SHARE
 from sloeswitch.core.records import JobState
 from sloeswitch.core.row_codec import split_machine_groups
 from sloeswitch.core.transaction import Transaction
@@ -38,6 +41,16 @@
     return f"wk-{number:06d}"
 
 
+class HungMachineOutcome(NamedTuple):
+    """What became of a fleet with a hung machine: which machines were deleted, when, and what it took."""
+
+    hung: str
+    deleted: list[str]
+    deleted_after_s: float
+    commands: int
+    longest_tick_s: float
+
+
 class FleetWorld(World):
     """Controller c0.1, and machines that c1.2 owned until it ended."""
 
@@ -63,6 +76,8 @@
             store.progress(job_name(number), **{FORMER_TAG.replace(".", "_"): (1 << size) - 1})
         store.put(keys.team_key("red"), {FORMER_TAG: [4.0 * machines, 0.0]})
         self.serials = dict.fromkeys(rows, 0)
+        # Tasks that are over on their machines.
+        self.ended: set[str] = set()
 
     def _watch_commits(self) -> None:
         commit = self.client.compare_and_swap
@@ -83,23 +98,24 @@
         """The lease is renewed and the tables are read afresh."""
         self.leadership.lease_renewed_at = self.replica.linearizable_at = self.clock.time
 
-    async def report(self, number: int, token: int) -> int:
-        """A machine reports its tasks as running; the status of the answer."""
+    def _worker_report(self, number: int, token: int) -> wire.WorkerReport:
         name = machine_name(number)
         self.serials[name] += 1
-        items = [wire.ReportedTask(task, 7, "running") for task in self.tasks_of(number)]
-        message = HeartbeatRequest(
-            report=wire.WorkerReport(name, "127.0.0.1:9000", "small", "a", True, 1, self.serials[name], token, items),
-            last_answer_received=True,
-        )
+        items = [wire.ReportedTask(task, 7, "running") for task in self.tasks_of(number) if task not in self.ended]
+        return wire.WorkerReport(name, "127.0.0.1:9000", "small", "a", True, 1, self.serials[name], token, items)
+
+    async def report(self, number: int, token: int) -> int:
+        """A machine reports its tasks as running; the status of the answer."""
+        message = HeartbeatRequest(report=self._worker_report(number, token), last_answer_received=True)
         await self.machines.handle(message)
         return int(message.answer.status)
 
-    def report_all(self, token: int) -> set[int]:
-        """Every machine reports once; which statuses were answered."""
+    def report_all(self, token: int, silent: str = "") -> set[int]:
+        """Every machine but a silent one reports once; which statuses were answered."""
+        numbers = [number for number in range(self.machine_count) if machine_name(number) != silent]
 
         async def report_each() -> set[int]:
-            return {await self.report(number, token) for number in range(self.machine_count)}
+            return {await self.report(number, token) for number in numbers}
 
         return anyio.run(report_each)
 
@@ -128,6 +144,56 @@
         self.report_all(0)
         self.report_all(4)
 
+    def take_over_with_a_hung_machine(self) -> HungMachineOutcome:
+        """All machines are taken over while a cancellation is overdue; one hangs, and all others report and answer."""
+        hung, now = machine_name(0), self.clock.time
+        key = keys.job_key(job_name(0))
+        cancelled_ms = int(1000 * (now - OVERDUE_SHARE * self.settings.cancel_s))
+        self.store.put(key, {**self.store.rows[key][0], "s": JobState.CANCELLED, "x": cancelled_ms})
+        self.ended = {task for number in range(1, MACHINES_OF_A_JOB) for task in self.tasks_of(number)}
+        self.store.view(4, ("c0", 1))
+        deleted: list[str] = []
+
+        def scale_in(machine: str, listed: bool = False, pressing: bool = False) -> bool:
+            is_new = pressing and machine not in deleted
+            if is_new:
+                deleted.append(machine)
+            return is_new
+
+        terminator: Any = SimpleNamespace(scale_in=scale_in)
+        self.machines.termination.autoscaler = terminator
+        sent, tick_s = 0, 0.0
+        while not deleted:
+            self.renew()
+            started = time.perf_counter()
+            self.tick()
+            tick_s = max(tick_s, time.perf_counter() - started)
+            commands = self.commands[:]
+            self.commands.clear()
+            sent += len(commands)
+            for call, args in commands:
+                self._answer_command(call.__name__, args[0], hung)
+            self.clock.time += self.settings.report_s / 4
+            if (self.clock.time - now) % self.settings.report_s == 0:
+                self.report_all(4, silent=hung)
+        return HungMachineOutcome(hung, deleted, self.clock.time - now, sent, tick_s)
+
+    def _answer_command(self, call: str, machine: Any, hung: str) -> None:
+        """A machine answers a command or an inspection, unless it hangs."""
+        commands = self.machines.commands
+        name = machine if call == "_inspect" else machine.name
+        number = int(name.removeprefix("vm-"))
+        if call == "_inspect":
+            reply = None if name == hung else self._worker_report(number, 4)
+            anyio.run(self.machines.handle, InspectionReply(name, reply))
+            return
+        commands.record_begun(machine)
+        if name == hung:
+            commands.record_failure(machine)
+        else:
+            anyio.run(self.machines.handle, CommandReply(self._worker_report(number, 4)))
+        commands.record_ended(machine)
+
     def cancel_all(self) -> None:
         """Every job is cancelled at once, by rows that other controllers wrote."""
         for number in range(self.jobs_count):
@@ -179,6 +245,11 @@
     timed("tick with everything cancelled", world.tick)
     print(f"{len(world.commands)} commands")
     timed("all machines deleted", lambda: f"{world.delete_all()} transactions")
+    outcome = FleetWorld(machines).take_over_with_a_hung_machine()
+    print(
+        f"one machine hung, a cancellation overdue: {len(outcome.deleted)} deleted after {outcome.deleted_after_s} s, "
+        f"{outcome.commands} commands, longest tick {outcome.longest_tick_s:.3f} s"
+    )
     print(f"memory {resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024:.0f} MB, tests and world included")
 
 
--- /dev/null
+++ b/tests/support/takeover_world.py
@@ -0,0 +1,216 @@
+"""A cluster in which a machine hangs with a cancelled task, and its owner changes again and again.
+
+Each seed draws how owners change and how often. Nothing else goes wrong: whatever is deleted besides the machine that
+hangs was healthy.
+
+    python3 -m tests.support.takeover_world 1 201          # seeds 1 to 200
+"""
+
+from __future__ import annotations
+
+import sys
+from enum import StrEnum
+from typing import Any
+
+from sloeswitch import wire
+from sloeswitch.actors.machine_messages import HeartbeatRequest
+from sloeswitch.core.machine import Machine
+from tests.conftest import spec
+from tests.support.cluster import World
+from tests.support.cluster_cloud import ScriptedTaskGroup
+from tests.support.cluster_node import Node
+from tests.support.cluster_worker import Worker
+from tests.support.seeds import play_seeds
+
+MEMBERS = ("c0", "c1", "c2")
+MACHINES = 12
+JOBS = 12
+# Steps before a machine hangs: all controllers have joined, and tasks run everywhere.
+QUIET_STEPS = 120
+# For so long after the cancellation the world is played; the machine would hang longer.
+PLAYED_S = 40.0
+HANG_S = 200.0
+# The shortest and the longest time between two changes of owners, in seconds.
+MIN_INTERVAL_S, MAX_INTERVAL_S = 0.3, 6.0
+# For so long the state service refuses a controller that is to lose its lease, in seconds.
+REFUSED_S = 4.0
+
+
+class TakeoverKind(StrEnum):
+    """How the hung machine changes owners."""
+
+    # The owner's process ends, and another one is back at once.
+    OWNER_RESTARTS = "owner restarts"
+    # All controllers restart, one after the other.
+    EACH_RESTARTS = "each restarts"
+    # The state service refuses the owner until its lease is over; the process goes on.
+    OWNER_LOSES_LEASE = "owner loses its lease"
+    # One or the other.
+    MIXED = "mixed"
+    # Its owner changes once, shortly before the task must be gone.
+    ONCE_LATE = "once, late"
+    # The owner restarts while the state service is down.
+    RESTART_IN_OUTAGE = "restart in an outage"
+
+
+class ReliableTaskGroup(ScriptedTaskGroup):
+    """Commands and inspections are answered at once by every machine that does not hang."""
+
+    late_share, arriving_share, answered_share = 0.0, 1.0, 1.0
+    lost_inspections = 0.0
+
+    def command(self, machine: Machine) -> None:
+        """One that is not sent after all ends at once."""
+        super().command(machine)
+        if not self.node.leadership.may_answer_workers:
+            self.node.machines.commands.record_ended(machine)
+
+
+class TakeoverNode(Node):
+    """A controller whose network is sound."""
+
+    def __init__(self, world: World, name: str) -> None:
+        super().__init__(world, name)
+        self.group = ReliableTaskGroup(self)
+        self.machines.group = self.group  # type: ignore[assignment]
+
+
+class PromptWorker(Worker):
+    """A worker whose reports are answered at once."""
+
+    def heartbeat(self) -> None:
+        world, sent = self.world, self.world.clock.time
+        message = HeartbeatRequest(report=self.report(), last_answer_received=self.last_answer_received)
+        world.deliver(self.target, message)
+        answer = message.answer
+        self.last_answer_received = answer.status == 200
+        if answer.status == 200:
+            self.answers_in_flight.append((sent, sent, self.agent_epoch, answer.body))
+            return
+        told = wire.decode(answer.body, dict[str, Any]).get("foreman") if answer.status == 421 else None
+        self.target = told or world.rng.choice(world.members)
+
+
+class TakeoverWorld(World):
+    """Healthy machines and one that hangs; owners change as the seed has it."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, troubled=True, members=MEMBERS, machines=MACHINES)
+        self.task_ends = 0.004
+        self.kind = self.rng.choice(list(TakeoverKind))
+        self.interval_s = self.rng.uniform(MIN_INTERVAL_S, MAX_INTERVAL_S)
+        self.next_change_at = float("inf")
+        self.restarted = 0
+        self.hung_machine: Worker | None = None
+        self.cancelled_job = ""
+
+    def new_node(self, name: str) -> Node:
+        return TakeoverNode(self, name)
+
+    def new_worker(self, name: str) -> Worker:
+        return PromptWorker(self, name)
+
+    def trouble(self, node: Node) -> None:
+        """No machine fails but the one that hangs."""
+
+    def happen(self, luck: float, node: Node) -> None:
+        if self.hung_machine is None:
+            if len(self.sizes) < JOBS:
+                self.number += 1
+                self.submit(node, spec(f"wk-{self.number:06d}", visits=self.rng.randint(2, 4), cores=0.5))
+        elif self.clock.time >= self.next_change_at and self.is_known_to_siblings():
+            self.next_change_at = self.clock.time + self.interval_s
+            self.change_owner(self.kind)
+        self.ask_siblings()
+
+    def ask_siblings(self) -> None:
+        """Every controller asks one of the others for its status."""
+        for node in self.nodes.values():
+            self.ask_sibling(node)
+
+    def hang_machine(self) -> bool:
+        """A machine with tasks hangs, and the job of one of them is cancelled; False where there is none."""
+        running = [worker for worker in self.workers if any(state == "running" for state, _ in worker.tasks.values())]
+        if not running:
+            return False
+        worker = self.rng.choice(running)
+        task = next(task for (task, _), (state, _) in worker.tasks.items() if state == "running")
+        self.cancelled_job = task.partition("/")[0]
+        self.cancel(self.cancelled_job, self.nodes[self.rng.choice(MEMBERS)])
+        if self.cancelled_job not in self.told:
+            return False
+        worker.hung_until = self.clock.time + HANG_S
+        self.hung_machine = worker
+        self.next_change_at = self.first_change_at()
+        return True
+
+    def first_change_at(self) -> float:
+        """Owners change from the cancellation on, or once at a moment between half of the time and its end."""
+        if self.kind is not TakeoverKind.ONCE_LATE:
+            return self.clock.time + self.interval_s * self.rng.random()
+        self.interval_s = float("inf")
+        return self.clock.time + 30.0 * self.rng.uniform(0.4, 0.95)
+
+    def owner(self) -> str:
+        """The owner of the hung machine by the stored view."""
+        assert self.hung_machine is not None
+        return self.store.tables.view.owner(self.hung_machine.name) or MEMBERS[0]
+
+    def is_known_to_siblings(self) -> bool:
+        """Whether each controller has read the cancellation.
+
+        One that nobody has read but a process which ends in an outage cannot be known to anybody (docs/design.md,
+        "Limits known"); the seed decides how long after its reading owners change.
+        """
+        if self.kind is not TakeoverKind.RESTART_IN_OUTAGE:
+            return True
+        rows = [node.tables.jobs.get(self.cancelled_job) for node in self.nodes.values()]
+        return all(row is None or row.is_cancelled for row in rows)
+
+    def change_owner(self, kind: TakeoverKind) -> None:
+        self.happened[str(kind)] += 1
+        if kind is TakeoverKind.MIXED:
+            kinds = (TakeoverKind.OWNER_RESTARTS, TakeoverKind.EACH_RESTARTS, TakeoverKind.OWNER_LOSES_LEASE)
+            kind = self.rng.choice(kinds)
+        if kind is TakeoverKind.EACH_RESTARTS:
+            self.restart(MEMBERS[self.restarted % len(MEMBERS)])
+        elif kind is TakeoverKind.OWNER_LOSES_LEASE:
+            self.refuse(self.nodes[self.owner()])
+        elif kind is TakeoverKind.RESTART_IN_OUTAGE:
+            self.outage = True
+            self.restart(self.owner())
+            self.next_change_at = float("inf")
+        else:
+            self.restart(self.owner())
+
+    def restart(self, name: str) -> None:
+        """The process of a controller ends, and a new one is there."""
+        self.restarted += 1
+        self.nodes[name] = self.new_node(name)
+
+    def refuse(self, node: Node) -> None:
+        node.refused = True
+        self.late.append((self.clock.time + REFUSED_S, lambda: setattr(node, "refused", False)))
+
+    def delete(self, name: str) -> None:
+        worker = self.worker(name)
+        assert worker is None or worker.hung, f"a healthy machine is deleted: {name}"
+        super().delete(name)
+
+
+def play(seed: int) -> TakeoverWorld:
+    """Plays a world until the cancelled task must be gone, checking the rules after each step."""
+    world = TakeoverWorld(seed)
+    world.start()
+    for _ in range(QUIET_STEPS):
+        world.step()
+    while not world.hang_machine():
+        world.step()
+    end = world.clock.time + PLAYED_S
+    while world.clock.time < end:
+        world.step()
+    return world
+
+
+if __name__ == "__main__":
+    sys.exit(play_seeds(play, int(sys.argv[1]), int(sys.argv[2])))
