A completion found at a takeover is settled before the view counts as recovered

Cause: recovery waited for the claims of what runs on machines that were taken over. What a first report lists as done was left to the ordinary write, up to a worker lease later; the view was reported as recovered before, and another controller voided the former owner's claim and started the task again.

Fix: such a task is adopted like one that runs, in the same row, so that nobody can void its claim; recovery waits for that. A completion of a job that is over, unknown or cancelled, or whose row is too large, holds nothing up. Stored forms are unchanged.

--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -19,6 +19,7 @@
 from sloeswitch.actors.job_requests import CancelFailure, JobRequests, Submission
 from sloeswitch.actors.quota_log import log_row_changes
 from sloeswitch.actors.spec_chunks import transaction_values_bytes
+from sloeswitch.core import keys
 from sloeswitch.core.commit_planner import CommitLimits, CommitPlan, CommitSnapshot, plan_commit
 from sloeswitch.core.commit_schedule import CommitDelays, CommitSchedule
 from sloeswitch.core.uncommitted_updates import TaskUpdates, UncommittedUpdates
@@ -59,6 +60,8 @@
         self.values_bytes = transaction_values_bytes(context.settings.value_bytes)
         # The number of this incarnation's next row of adoptions.
         self.adoption_number = 0
+        # Jobs whose progress was too large for a row when it was to be written last.
+        self.oversized_jobs: set[str] = set()
 
     # -- messages
 
@@ -161,10 +164,19 @@
         self.adoption_number = plan.adoption_number
         if request is not None:
             request.granted.update(plan.granted)
-        for name in plan.oversized_jobs:
-            log.error("progress not stored: job=%s reason=oversized", name)
+        self._record_oversized(plan)
         return plan
 
+    def _record_oversized(self, plan: CommitPlan) -> None:
+        """Logs jobs whose progress has no place in a row, once until it is written again."""
+        for name in plan.oversized_jobs:
+            if name not in self.oversized_jobs:
+                log.error("progress not stored: job=%s reason=oversized", name)
+        written = {name for name in self.oversized_jobs if keys.progress_key(name) in plan.transaction.writes}
+        self.oversized_jobs -= written
+        self.oversized_jobs.update(plan.oversized_jobs)
+        self.oversized_jobs &= self.tables.jobs.keys()
+
     async def _commit(self, plan: CommitPlan, priority: RequestPriority, acquired_changes: int) -> TransactionOutcome:
         """Commits the plan's transaction, and brings the tables to the state after it."""
         transaction = plan.transaction
--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -186,10 +186,9 @@
 
     def _report_recovery(self) -> None:
         """Once all machines under the view have reported or are accounted for, the membership actor stores that."""
-        if (
-            self.registry.is_recovered(self.tables, self.leadership.incarnation_id)
-            and self.membership.recovered_view != self.ownership.followed_view
-        ):
+        if self.membership.recovered_view == self.ownership.followed_view:
+            return
+        if self.registry.is_recovered(self.tables, self.leadership.incarnation_id, self.jobs.oversized_jobs):
             self.membership.tell(ShardRecovered(self.ownership.followed_view))
 
     def _register(self) -> None:
--- a/sloeswitch/core/commit_planner.py
+++ b/sloeswitch/core/commit_planner.py
@@ -186,7 +186,7 @@
                 break
             if adoption.tasks:
                 adoptions[job.spec.id] = adoption.packed
-                self._quota.move_with_adoption(job, adoption.tasks)
+                self._move_quota(job, adoption.tasks)
         # A write without an answer is tried again under its own key, unless it was carried out.
         if keys.adoption_key(self._incarnation_id, self._adoption_number) in self._tables.adoption_keys:
             self._adoption_number += 1
@@ -204,6 +204,16 @@
         ]
         return sorted(adopting, key=lambda job: job.spec.team)
 
+    def _move_quota(self, job: Job, adopted: int) -> None:
+        """Moves the quota of adopted tasks from their former holders, but for those that completed.
+
+        Guards against tasks that are not covered: a former holder has used a completed task's part of its allocation
+        for another one, which is adopted elsewhere and brings that part along.
+        """
+        running = adopted & ~self._snapshot.updates[job.spec.id].done
+        if running:
+            self._quota.move_with_adoption(job, running)
+
     def _has_change_for(self, team: str) -> bool:
         """Whether the team's allocation may change besides the row of adoptions and the allocations changed so far."""
         return team in self._quota or len(self._quota) + 1 < self._limits.changes
@@ -250,7 +260,7 @@
         if adopted:
             # The tasks' part of the limit comes with them, in the same transaction.
             self._changes_left -= allocation_changes
-            self._quota.move_with_adoption(job, adopted)
+            self._move_quota(job, adopted)
         if adopted or voids_claims or claims_tasks:
             self._relies_on_view = True
         return True
--- a/sloeswitch/core/machine_registry.py
+++ b/sloeswitch/core/machine_registry.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Set
+
 from sloeswitch.core.machine import Attempt, AttemptKey, Machine, TaskId
 from sloeswitch.core.placement import FreeCapacity
 from sloeswitch.core.quota import ResourceUsage
@@ -34,6 +36,32 @@
         tasks.pop(task.job, None)
 
 
+def _merge_tasks(first: Mapping[str, int], second: Mapping[str, int]) -> dict[str, int]:
+    """The tasks in either of two sets by job."""
+    return {job: first.get(job, 0) | second.get(job, 0) for job in {**first, **second}}
+
+
+def _common_tasks(first: Mapping[str, int], second: Mapping[str, int]) -> dict[str, int]:
+    """The tasks in both of two sets by job."""
+    return {job: common for job, tasks in first.items() if (common := tasks & second.get(job, 0))}
+
+
+def _unstored_tasks(tables: Tables, incarnation_id: str, job: str, tasks: int) -> int:
+    """Those of a job's tasks that are stored neither as done nor as the incarnation's claims.
+
+    There are none of a job that is over or unknown.
+    """
+    record = tables.jobs.get(job)
+    if record is None:
+        return 0
+    return tasks & ~record.progress.done & ~record.progress.claims.get(incarnation_id, 0)
+
+
+def _is_cancelled(tables: Tables, job: str) -> bool:
+    record = tables.jobs.get(job)
+    return record is not None and record.is_cancelled
+
+
 class MachineRegistry:
     """All machines that this controller owns under the present view.
 
@@ -44,6 +72,7 @@
         handed_off_tasks: Tasks of ours that were on machines which moved to another owner; nowhere else until they
             are settled.
         adopting: Tasks found on machines that were taken over, whose adoption may not be stored yet.
+        found_completions: The same of tasks that had completed there, of which other controllers may not know.
         released: Machines that this incarnation has owned and that have another owner now, by name.
     """
 
@@ -53,6 +82,7 @@
         self.team_usage: dict[str, ResourceUsage] = {}
         self.handed_off_tasks: dict[str, int] = {}
         self.adopting: dict[str, int] = {}
+        self.found_completions: dict[str, int] = {}
         self.released: set[str] = set()
 
     # -- ownership
@@ -64,6 +94,7 @@
         self.team_usage = {}
         self.handed_off_tasks = {}
         self.adopting = {}
+        self.found_completions = {}
         self.released = set()
 
     def add_machine(self, machine: Machine) -> Machine:
@@ -96,29 +127,64 @@
             _add_task(self.handed_off_tasks, attempt.task)
             self.remove_attempt(machine, attempt)
 
-    def is_recovered(self, tables: Tables, incarnation_id: str) -> bool:
-        """Whether all machines of the present view are reconciled or accounted for, and adoptions are stored."""
+    def is_recovered(self, tables: Tables, incarnation_id: str, unstorable_jobs: Set[str] = frozenset()) -> bool:
+        """Whether all machines of the present view are reconciled or accounted for, and what was found is stored.
+
+        That is: adopted tasks, and completions that other controllers may not know of (see `unsettled_completions`).
+        """
         for machine in self.machines.values():
             if not machine.is_recovered:
                 return False
         if not self.adoptions_stored(tables, incarnation_id):
             return False
+        if self.unsettled_completions(tables, incarnation_id, unstorable_jobs):
+            return False
         self.adopting.clear()
+        self.found_completions.clear()
         return True
 
     def adoptions_stored(self, tables: Tables, incarnation_id: str) -> bool:
         """Whether all tasks that were adopted so far are stored as this controller's claims, or done."""
-        for job, tasks in self.adopting.items():
-            record = tables.jobs.get(job)
-            if record is not None and tasks & ~record.progress.done & ~record.progress.claims.get(incarnation_id, 0):
-                return False
-        return True
+        return not any(_unstored_tasks(tables, incarnation_id, job, tasks) for job, tasks in self.adopting.items())
+
+    def unsettled_completions(
+        self, tables: Tables, incarnation_id: str, unstorable_jobs: Set[str] = frozenset()
+    ) -> dict[str, int]:
+        """Completions found with machines that were taken over, and still claimed by whoever started the tasks.
+
+        Once the view is recovered such a claim may be void, and the task would be started once more. A completion is
+        settled when it is stored, or when its task is this controller's claim, which no recovery voids. It is void when
+        its job is over, unknown or cancelled, so that nobody starts the task.
+
+        Args:
+            tables: The replicated tables.
+            incarnation_id: This controller's incarnation.
+            unstorable_jobs: Jobs whose progress has no place in a row. Guards against a view that is never recovered.
+        """
+        return {
+            job: tasks
+            for job, found in self.found_completions.items()
+            if job not in unstorable_jobs
+            and not _is_cancelled(tables, job)
+            and (tasks := _unstored_tasks(tables, incarnation_id, job, found))
+        }
 
     def pending_adoptions(self) -> dict[str, int]:
-        """Adoptions not yet known to be stored, of tasks that are still on our machines."""
-        on_machines = {job: tasks & self.placed_tasks.get(job, 0) for job, tasks in self.adopting.items()}
-        self.adopting = {job: tasks for job, tasks in on_machines.items() if tasks}
-        return self.adopting
+        """Adoptions not yet known to be stored, of tasks that are still on our machines or are listed there as done."""
+        listed = self._listed_completions()
+        found = _merge_tasks(self.adopting, self.found_completions)
+        self.adopting = _common_tasks(self.adopting, self.placed_tasks)
+        self.found_completions = _common_tasks(found, listed)
+        return _merge_tasks(self.adopting, self.found_completions)
+
+    def _listed_completions(self) -> dict[str, int]:
+        """Completed tasks that our machines list, as sets of tasks by job."""
+        listed: dict[str, int] = {}
+        for machine in self.machines.values():
+            for key, is_completion in machine.ended_attempts.items():
+                if is_completion:
+                    _add_task(listed, TaskId(*split_task(key.task)))
+        return listed
 
     def prune_handed_off(self, tables: Tables, incarnation_id: str) -> None:
         """Drops tasks that a new owner adopted or saw done: ours no more, nor is their part of the quota."""
@@ -154,6 +220,11 @@
         _discard_task(self.handed_off_tasks, attempt.task)
         _add_task(self.adopting, attempt.task)
 
+    def adopt_completion(self, task: TaskId) -> None:
+        """Notes a completion of a task that an earlier owner of its machine started and still claims."""
+        _discard_task(self.handed_off_tasks, task)
+        _add_task(self.found_completions, task)
+
     def remove_attempt(self, machine: Machine, attempt: Attempt) -> None:
         """The attempt is gone; does nothing if it is not on the machine any more."""
         if machine.attempts.get(attempt.task) is not attempt:
--- a/sloeswitch/core/reconciliation.py
+++ b/sloeswitch/core/reconciliation.py
@@ -75,7 +75,7 @@
         accepted: Whether the report was applied; otherwise nothing has changed.
         done: Completed tasks; each is listed once, by the report that first shows its end.
         failed: Tasks that ended by a fault of the machine or of the job.
-        adopted: Tasks of an earlier owner that are this controller's claims from now on.
+        adopted: Tasks of an earlier owner that are this controller's claims from now on, completed ones included.
         foreign: Attempts that are stopped and that the report before did not show.
         capacity_freed: Whether something is free that was in use.
     """
@@ -272,10 +272,14 @@
         """
         state = REPORTED_STATES[item.state]
         key = AttemptKey(item.task, item.attempt)
+        record = self.tables.jobs.get(job)
         if state == AttemptState.ENDED:
-            self._record_ended(key, TaskId(job, index), item.cause)
+            task = TaskId(job, index)
+            self._record_ended(key, task, item.cause)
+            if is_first and item.cause == EndCause.DONE and self._foreign_reason(record, index) is None:
+                self.registry.adopt_completion(task)
+                self.result.adopted.append(task)
             return
-        record = self.tables.jobs.get(job)
         reason = self._foreign_reason(record, index) if is_first else ForeignReason.LATE
         if reason is not None or record is None:
             self.machine.foreign_attempts[key] = None
--- /dev/null
+++ b/tests/support/completion_world.py
@@ -0,0 +1,99 @@
+"""A cluster of healthy machines whose controllers end and come back: no task that completed is started once more.
+
+Completions wait for their write while the owners of their machines change, alone or all at once. Every machine keeps
+the results of its tasks until they are cleared, so that each completion is there for the next owner to find.
+
+    python3 -m tests.support.completion_world 1 201          # seeds 1 to 200
+"""
+
+from __future__ import annotations
+
+import sys
+
+from tests.conftest import spec
+from tests.support.cluster import World
+from tests.support.cluster_node import Node
+from tests.support.cluster_worker import Worker
+from tests.support.seeds import play_seeds
+from tests.support.takeover_world import PromptWorker, TakeoverNode
+
+MEMBERS = ("c0", "c1", "c2")
+MACHINES = 10
+MAX_JOBS = 30
+STEPS = 500
+# How likely a running task ends in a step.
+TASK_END_SHARE = 0.02
+# How likely controllers end in a step: one, or all of them; and how likely an outage begins or ends.
+RESTART_SHARE, RESTART_ALL_SHARE, OUTAGE_SHARE = 0.02, 0.006, 0.004
+
+
+class ResultKeeper(PromptWorker):
+    """A worker whose results are lost only with its lease."""
+
+    world: CompletionWorld
+
+    def expire(self) -> None:
+        if self.lease_over:
+            self.world.kept -= {task for task, _ in self.tasks}
+        super().expire()
+
+
+class CompletionWorld(World):
+    """Nothing fails but controllers and the state service."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed, troubled=True, members=MEMBERS, machines=MACHINES)
+        self.task_ends = TASK_END_SHARE
+        # Completed tasks whose result is stored, or still with the machine that has it.
+        self.kept: set[str] = set()
+
+    def new_node(self, name: str) -> Node:
+        return TakeoverNode(self, name)
+
+    def new_worker(self, name: str) -> Worker:
+        return ResultKeeper(self, name)
+
+    def trouble(self, node: Node) -> None:
+        """No machine fails."""
+
+    def happen(self, luck: float, node: Node) -> None:
+        if luck < RESTART_SHARE:
+            self.restart(node.settings.member)
+        elif luck < RESTART_SHARE + RESTART_ALL_SHARE:
+            for name in MEMBERS:
+                self.restart(name)
+        elif luck < RESTART_SHARE + RESTART_ALL_SHARE + OUTAGE_SHARE:
+            self.outage = not self.outage
+        elif luck < 0.2 and len(self.sizes) < MAX_JOBS:
+            self.number += 1
+            self.submit(node, spec(f"wk-{self.number:06d}", visits=self.rng.randint(2, 12), cores=0.5))
+        self.ask_sibling(node)
+
+    def restart(self, name: str) -> None:
+        """The process of a controller ends, and a new one is there."""
+        self.happened["restart"] += 1
+        self.nodes[name] = self.new_node(name)
+
+    def check_start(self, worker: Worker, task: str) -> None:
+        assert task not in self.kept, f"started once more: {task} {worker.name}"
+        super().check_start(worker, task)
+
+    def check(self) -> None:
+        for worker in self.workers:
+            self.kept |= {task for (task, _), (_, cause) in worker.tasks.items() if cause == "done"}
+        super().check()
+
+
+def play(seed: int, steps: int = STEPS, calm_steps: int = 0) -> CompletionWorld:
+    """Plays a world, checking the rules after each step; in the calm steps at its end nothing more goes wrong."""
+    world = CompletionWorld(seed)
+    world.start()
+    for step in range(steps + calm_steps):
+        if step == steps:
+            world.end_troubles()
+        world.step(calm=step >= steps)
+    return world
+
+
+if __name__ == "__main__":
+    sys.exit(play_seeds(play, int(sys.argv[1]), int(sys.argv[2])))
