An adoption of an earlier view is never planned, whatever a transaction takes

Callers could have a task started a second time: an adoption that holds for one view was stored under the next one, and took the task back from its machine's new owner.

Cause: adoptions are expired before the tables are read, and again after it only where a row of adoptions has room. Where decreases of allocations leave fewer than two changes (a limit of three or less), what the read brought was not looked at, and the write's condition was the new view itself.

Fix: adoptions are expired after the read in every case.

--- a/sloeswitch/actors/jobs.py
+++ b/sloeswitch/actors/jobs.py
@@ -157,8 +157,8 @@
             claims=None if claiming is None else claiming.requested_claims(),
             forced_rewrites=frozenset() if request is None else request.forced_rewrites,
         )
-        if snapshot.groups_adoptions or not self.tables.layout_complete:
-            self._expire_adoptions()
+        # The read before may have brought another view.
+        self._expire_adoptions()
         due_jobs = self._schedule().due_jobs(() if claiming is None else claiming.task_counts)
         plan = plan_commit(snapshot, due_jobs)
         self.adoption_number = plan.adoption_number
--- a/tests/test_adoptions.py
+++ b/tests/test_adoptions.py
@@ -11,6 +11,7 @@
 from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.core import keys, taskset
 from sloeswitch.core.quota import ResourceAmount
+from sloeswitch.core.quota_changes import QuotaDecrease
 from sloeswitch.core.records import Job, JobState, Progress
 from sloeswitch.core.row_codec import encode_progress
 from sloeswitch.core.tables import Tables
@@ -243,3 +244,27 @@
         if told.done >> task & 1:
             holders.append("done")
         assert holders == ([world.truth[task]] if task in world.truth else []), task
+
+
+def test_an_adoption_of_an_earlier_view_is_not_stored_where_decreases_leave_no_room_for_a_row_of_adoptions(
+    store: Store,
+) -> None:
+    """Guards against a task taken back from its machine's new owner: the view changes while the tables are read."""
+    store.upgraded()
+    world = World(store)
+    world.client.txn_ops = 3
+    store.job(spec(JOB, visits=2, cores=1.0))
+    store.progress(JOB, c1_9=0b01)
+    store.put(keys.team_key("red"), {"c0.1": [4.0, 0.0], "c1.9": [1.0, 0.0]})
+    revision = store.tables.mod_revision(keys.team_key("red"))
+
+    async def read(timeout_s: float) -> None:
+        if store.tables.view.number == 3:
+            store.view(4, ("c0", 1), ("c1", 9))
+
+    world.replica.read_linearizable = read  # type: ignore[method-assign]
+    world.tell_jobs(TaskUpdates(adopted={JOB: 0b01}, view_number=3))
+    decreases = {team: QuotaDecrease(revision, 1.0, 0.0) for team in ("red", "blue")}
+    world.round(ClaimRequest(task_counts={JOB: 1}, quota_decreases=decreases))
+    assert store.tables.view.number == 4
+    assert store.tables.jobs[JOB].progress.claims.get("c0.1", 0) & 0b01 == 0
