Recovery waits for machines whose rows came after the view; it says what it waits for

Callers could have tasks started a second time: a member that read all rows anew may have a view and lack a group of machines stored just before it. It reported its recovery without these machines, and what ran on them counted as nowhere.

Cause: all rows are read by key, page by page, so that a view (v) can be newer than the groups (g) before it; the lease and the last fresh read, from before, still made this controller the leader; machines that the registry lacks were added only every two worker leases.

Fix: after a reading of all rows nothing counts as read afresh until a linearizable read sent after it is answered, which brings every change before the view; and missing machines are added before a recovery is reported.

The report is a module of its own (actors/shard_recovery.py). It logs once a lease what it waits for, and /metrics has sloeswitch_recovery_waits.

--- a/sloeswitch/actors/machines.py
+++ b/sloeswitch/actors/machines.py
@@ -35,8 +35,9 @@
 from sloeswitch.actors.machine_monitor import MachineMonitor
 from sloeswitch.actors.machine_ownership import MachineOwnership
 from sloeswitch.actors.machine_termination import MachineTermination
-from sloeswitch.actors.membership import Membership, ShardRecovered
+from sloeswitch.actors.membership import Membership
 from sloeswitch.actors.registration import Registration
+from sloeswitch.actors.shard_recovery import ShardRecovery
 from sloeswitch.actors.shard_state import ShardState
 from sloeswitch.actors.shard_summary import log_summary
 from sloeswitch.actors.surplus_drain import SurplusDrain
@@ -87,6 +88,7 @@
         self.gang_preemption = GangPreemption(shard, self.commands.kill)
         self.task_placement = TaskPlacement(shard, self.gang_preemption)
         self.ownership = MachineOwnership(shard)
+        self.recovery = ShardRecovery(shard, self.ownership, membership, jobs)
         self.heartbeats = HeartbeatHandler(shard, self.ownership, self.task_placement, self.commands, self._wake)
         self.monitor = MachineMonitor(shard, self.commands, self.cancellations, self.termination, self._wake)
         self.surplus_drain = SurplusDrain(shard, self.task_placement, self.commands)
@@ -186,10 +188,7 @@
 
     def _report_recovery(self) -> None:
         """Once all machines under the view have reported or are accounted for, the membership actor stores that."""
-        if self.membership.recovered_view == self.ownership.followed_view:
-            return
-        if self.registry.is_recovered(self.tables, self.leadership.incarnation_id, self.jobs.oversized_jobs):
-            self.membership.tell(ShardRecovered(self.ownership.followed_view))
+        self.recovery.report(self.registration.pending_removals)
 
     def _register(self) -> None:
         """Stores machines before anything is started on them, so that a later owner knows of them."""
--- /dev/null
+++ b/sloeswitch/actors/shard_recovery.py
@@ -0,0 +1,97 @@
+"""Recovery of this controller's shard under a view: reported once all that is on its machines is known and stored.
+
+Owns when it is logged what holds a recovery up. Called by the machines actor at each tick, while this controller leads.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+from sloeswitch.actors.jobs import Jobs
+from sloeswitch.actors.machine_ownership import MachineOwnership
+from sloeswitch.actors.membership import Membership, ShardRecovered
+from sloeswitch.actors.shard_state import ShardState
+
+log = logging.getLogger("machines")
+
+
+@dataclass(frozen=True)
+class RecoveryBlockers:
+    """What a recovery waits for.
+
+    Attributes:
+        machines: Machines that are not recovered.
+        adoptions: Adopted tasks whose adoption is not stored.
+        completions: Completions found with machines that are not settled (`MachineRegistry.unsettled_completions`).
+    """
+
+    machines: int
+    adoptions: int
+    completions: int
+
+
+class ShardRecovery:
+    """Reports the recovery of the shard to the membership actor, and tells what it waits for."""
+
+    def __init__(self, shard: ShardState, ownership: MachineOwnership, membership: Membership, jobs: Jobs) -> None:
+        context = shard.context
+        self.tables = context.tables
+        self.leadership = context.leadership
+        self.now = context.clock.now
+        self.registry = shard.registry
+        self.ownership = ownership
+        self.membership = membership
+        self.jobs = jobs
+        # How often a recovery that lasts is logged, in seconds, and when that is due next.
+        self.log_interval_s = context.settings.lease_s
+        self.log_at = float("-inf")
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the view that this controller follows was reported as recovered."""
+        return self.membership.recovered_view == self.ownership.followed_view
+
+    def report(self, pending_removals: set[str]) -> None:
+        """Has the membership actor store the recovery once nothing holds it up.
+
+        Guards against a machine whose row came after the view, as a reading of all rows by key may have it: what is on
+        it would count as nowhere.
+
+        Args:
+            pending_removals: Machines that are deleted and whose rows are not removed yet.
+        """
+        if self.is_over:
+            return
+        self.ownership.add_missing_machines(pending_removals)
+        if self.registry.is_recovered(self.tables, self.leadership.incarnation_id, self.jobs.oversized_jobs):
+            self.membership.tell(ShardRecovered(self.ownership.followed_view))
+        elif self.now() >= self.log_at:
+            self._log_blockers()
+
+    def blockers(self) -> RecoveryBlockers:
+        """What holds up the recovery of the present view; nothing once it was reported."""
+        if self.is_over:
+            return RecoveryBlockers(0, 0, 0)
+        incarnation_id = self.leadership.incarnation_id
+        completions = self.registry.unsettled_completions(self.tables, incarnation_id, self.jobs.oversized_jobs)
+        return RecoveryBlockers(
+            machines=sum(not machine.is_recovered for machine in self.registry.machines.values()),
+            adoptions=_count(self.registry.unstored_adoptions(self.tables, incarnation_id)),
+            completions=_count(completions),
+        )
+
+    def _log_blockers(self) -> None:
+        self.log_at = self.now() + self.log_interval_s
+        found = self.blockers()
+        log.info(
+            "recovery waits: view=%d machines=%d adoptions=%d completions=%d",
+            self.ownership.followed_view,
+            found.machines,
+            found.adoptions,
+            found.completions,
+        )
+
+
+def _count(tasks_by_job: dict[str, int]) -> int:
+    return sum(tasks.bit_count() for tasks in tasks_by_job.values())
--- a/sloeswitch/core/machine_registry.py
+++ b/sloeswitch/core/machine_registry.py
@@ -145,7 +145,15 @@
 
     def adoptions_stored(self, tables: Tables, incarnation_id: str) -> bool:
         """Whether all tasks that were adopted so far are stored as this controller's claims, or done."""
-        return not any(_unstored_tasks(tables, incarnation_id, job, tasks) for job, tasks in self.adopting.items())
+        return not self.unstored_adoptions(tables, incarnation_id)
+
+    def unstored_adoptions(self, tables: Tables, incarnation_id: str) -> dict[str, int]:
+        """Adopted tasks that are stored neither as this controller's claims nor as done, as sets of tasks by job."""
+        return {
+            job: tasks
+            for job, adopted in self.adopting.items()
+            if (tasks := _unstored_tasks(tables, incarnation_id, job, adopted))
+        }
 
     def unsettled_completions(
         self, tables: Tables, incarnation_id: str, unstorable_jobs: Set[str] = frozenset()
--- a/sloeswitch/metrics.py
+++ b/sloeswitch/metrics.py
@@ -71,6 +71,7 @@
         yield from self._leadership()
         yield from self._state_service()
         yield from self._shard()
+        yield from self._recovery()
         yield from self._cancelled_tasks()
         yield from self._quotas()
 
@@ -128,6 +129,16 @@
             tasks,
         )
 
+    def _recovery(self) -> Iterator[Metric]:
+        found = self._machines.recovery.blockers()
+        waits = {
+            "machines": found.machines,
+            "adoptions": found.adoptions,
+            "completions": found.completions,
+        }
+        text = "What the recovery of the newest view waits for: machines, adopted tasks, found completions."
+        yield _gauges("recovery_waits", text, "reason", waits)
+
     def _cancelled_tasks(self) -> Iterator[Metric]:
         waits = self._machines.cancellations.waits(self._context.clock.now())
         family = GaugeMetricFamily(
--- a/sloeswitch/replica.py
+++ b/sloeswitch/replica.py
@@ -188,7 +188,11 @@
                 await anyio.sleep(self.watch_pause_s)
 
     async def _load(self) -> None:
-        """Replaces the tables by a snapshot; changes made while it is read follow with the change feed."""
+        """Replaces the tables by a snapshot; changes made while it is read follow with the change feed.
+
+        Nothing counts as read afresh until they have. Guards against a snapshot that has a view and not a group of
+        machines stored just before it, since rows are read by key: nobody may lead under that view yet.
+        """
         snapshot = await read_snapshot(self.client)
         self._own_writes.clear()
         self.tables.clear()
@@ -196,6 +200,8 @@
             self.tables.apply(row.key, row.value, row.mod_revision)
         self.applied_revision = snapshot.revision
         self.loaded = self.fully_read = True
+        self.linearizable_at = float("-inf")
+        self.request_read()
         log.info("snapshot loaded: rows=%d revision=%d", len(snapshot.rows), snapshot.revision)
         self._notify()
 
--- /dev/null
+++ b/tests/test_shard_recovery.py
@@ -0,0 +1,55 @@
+"""When a controller reports that it has recovered its shard: not before it knows all the machines that it owns."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from sloeswitch import replica
+from sloeswitch.actors.membership import ShardRecovered
+from sloeswitch.core import keys
+from sloeswitch.state_client import StateClient
+from sloeswitch.state_reads import Snapshot
+from sloeswitch.wire import StoredRow
+from tests.conftest import Store, report
+from tests.support.single_controller import World, later
+
+MACHINE = ["127.0.0.1:9000", "small", "a", True]
+
+
+def reported(world: World) -> list[int]:
+    """The views that are reported as recovered at this moment."""
+    world.membership._inbox.clear()
+    world.machines._report_recovery()
+    return [message.view_number for message in world.membership._inbox if isinstance(message, ShardRecovered)]
+
+
+def test_a_machine_whose_group_was_read_after_the_view_holds_up_the_recovery(store: Store) -> None:
+    """Guards against a reading of all rows by key that has the view and not a group stored just before it.
+
+    The tasks on such a machine would count as nowhere, and be started a second time.
+    """
+    world = World(store)
+    store.member("c0", 1, settled=2)
+    world.machines.ownership.follow_view()
+    store.put(keys.group_key("c1.9.1"), {"m": {"vm-1": MACHINE}})
+    later(world, 0.1)
+    assert reported(world) == []
+    world.heartbeat(report(1, 0))
+    world.heartbeat(report(2, 3))
+    assert reported(world) == [3]
+
+
+def test_nobody_leads_by_a_snapshot_before_a_fresh_read(store: Store, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the same while the change feed has not brought the group: the lease is good for a while."""
+    world = World(store)
+    assert world.leadership.is_leader
+
+    async def read_snapshot(client: StateClient) -> Snapshot:
+        return Snapshot(store.epoch, [StoredRow(key, value, stamp) for key, (value, stamp) in store.rows.items()])
+
+    monkeypatch.setattr(replica, "read_snapshot", read_snapshot)
+    anyio.run(world.replica._load)
+    assert world.leadership.view.number == 3 and not world.leadership.is_leader
+    later(world, 0.1)
+    assert world.leadership.is_leader
