--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -281,12 +281,17 @@
         self.check()
 
 
-def play(seed: int, steps: int, troubled: bool = False, calm_steps: int = 0) -> World:
+def run_steps(world: World, steps: int, calm_steps: int = 0) -> None:
     """Plays a world, checking the rules after each step; in the calm steps at its end nothing more goes wrong."""
-    world = World(seed, troubled)
     world.start()
     for step in range(steps + calm_steps):
         if step == steps:
             world.end_troubles()
         world.step(calm=step >= steps)
+
+
+def play(seed: int, steps: int, troubled: bool = False, calm_steps: int = 0) -> World:
+    """Plays a world of a seed; see `run_steps`."""
+    world = World(seed, troubled)
+    run_steps(world, steps, calm_steps)
     return world
--- a/tests/support/completion_world.py
+++ b/tests/support/completion_world.py
@@ -11,7 +11,7 @@
 import sys
 
 from tests.conftest import spec
-from tests.support.cluster import World
+from tests.support.cluster import World, run_steps
 from tests.support.cluster_node import Node
 from tests.support.cluster_worker import Worker
 from tests.support.seeds import play_seeds
@@ -84,14 +84,10 @@
         super().check()
 
 
-def play(seed: int, steps: int = STEPS, calm_steps: int = 0) -> CompletionWorld:
-    """Plays a world, checking the rules after each step; in the calm steps at its end nothing more goes wrong."""
+def play(seed: int) -> CompletionWorld:
+    """Plays a world, checking the rules after each step."""
     world = CompletionWorld(seed)
-    world.start()
-    for step in range(steps + calm_steps):
-        if step == steps:
-            world.end_troubles()
-        world.step(calm=step >= steps)
+    run_steps(world, STEPS)
     return world
 
 
--- a/tests/support/quota_world.py
+++ b/tests/support/quota_world.py
@@ -24,7 +24,7 @@
 from sloeswitch.core.quota import ROUNDING_TOLERANCE
 from sloeswitch.core.uncommitted_updates import TaskUpdates
 from tests.conftest import SETTINGS, spec
-from tests.support.cluster import Args, Result, World
+from tests.support.cluster import Args, Result, World, run_steps
 from tests.support.cluster_node import Node
 from tests.support.cluster_state import ClusterStateClient
 from tests.support.cluster_worker import Worker
@@ -361,14 +361,10 @@
 
 
 def play(seed: int, steps: int = STEPS, calm_steps: int = 0) -> QuotaWorld:
-    """Plays a world, checking the rules after each step; in the calm steps at its end nothing more goes wrong."""
+    """Plays a world of a seed; see `run_steps`."""
     world = QuotaWorld(seed)
     try:
-        world.start()
-        for step in range(steps + calm_steps):
-            if step == steps:
-                world.end_troubles()
-            world.step(calm=step >= steps)
+        run_steps(world, steps, calm_steps)
     finally:
         world.close()
     return world
--- a/tests/test_cancellations_in_outage.py
+++ b/tests/test_cancellations_in_outage.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 import pytest
@@ -189,65 +189,110 @@
     returns in any order. A former process may have told what its successor has forgotten."""
     monkeypatch.setattr("sloeswitch.mesh.MAX_CANCELLATIONS", 2)
     # The spell that this is about comes about: somebody answers on its siblings' word alone.
-    assert sum(play_spells(random.Random(seed)) for seed in range(40)) > 1000
-
-
-def play_spells(rng: random.Random) -> int:
-    """How often somebody could answer machines who had not read everything."""
-    clock = Clock()
-    service = Service(epoch=5)
-    members = {name: Member(name, clock, number + 1) for number, name in enumerate(("c0", "c1", "c2"))}
-    for member in members.values():
-        member.read(service)
-        member.join()
-    span = members["c0"].leadership.lease_span_s
-    reaches = dict.fromkeys(members, True)
-    confirmed: dict[str, float] = {}
-    frames: list[tuple[Member, str, float, StatusFrame]] = []
-    answering_unread = 0
-    for step in range(400):
-        clock.time += rng.random() * 0.3
-        name = rng.choice(list(members))
-        member = members[name]
-        action = rng.random()
-        if action < 0.06:
-            reaches[name] = not reaches[name]
-        elif action < 0.08:
-            reaches = dict.fromkeys(members, False)
-        elif action < 0.2 and reaches[name] and member.replica.fully_read:
-            # Stored; sometimes the answer is lost, and the user is told by whoever reads it.
-            service.epoch += 1
-            job = f"wk-{step}"
-            service.rows.append(Cancellation(job, service.epoch))
-            if rng.random() < 0.7:
-                member.tables.apply(keys.job_key(job), {"s": JobState.CANCELLED, "n": 1, "t": 5}, service.epoch)
-                confirmed[job] = clock.time
-        elif action < 0.35 and reaches[name]:
-            member.read(service)
-            for row in service.rows:
-                confirmed.setdefault(row.job, clock.time)
-        elif action < 0.37:
-            # Its successor is up at once; it joins when it can read.
-            fresh = members[name] = Member(name, clock, 100 + step)
-            frames = [frame for frame in frames if frame[0] is not member]
-            if rng.random() < 0.5 and reaches[name]:
-                fresh.read(service)
-                fresh.join()
+    assert sum(Spells(random.Random(seed)).play() for seed in range(40)) > 1000
+
+
+class Question(NamedTuple):
+    """A question under way from one process to a member, and the answer that it will get."""
+
+    asker: Member
+    member: str
+    asked_at: float
+    answer: StatusFrame
+
+
+class Spells:
+    """Three controllers and the state service, step by step."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.clock = Clock()
+        self.service = Service(epoch=5)
+        names = ("c0", "c1", "c2")
+        self.members = {name: Member(name, self.clock, number + 1) for number, name in enumerate(names)}
+        for member in self.members.values():
+            member.read(self.service)
+            member.join()
+        self.span_s = self.members["c0"].leadership.lease_span_s
+        self.reaches = dict.fromkeys(self.members, True)
+        # When each cancellation was told to a user.
+        self.confirmed: dict[str, float] = {}
+        self.questions: list[Question] = []
+        # How often somebody could answer machines who had not read everything.
+        self.answering_unread = 0
+
+    def play(self) -> int:
+        for step in range(400):
+            self.clock.time += self.rng.random() * 0.3
+            self.happen(step, self.rng.choice(list(self.members)))
+            self.deliver_answers()
+            self.check(step)
+        return self.answering_unread
+
+    def happen(self, step: int, name: str) -> None:
+        """Something happens to a member, or it asks another one."""
+        luck = self.rng.random()
+        if luck < 0.06:
+            self.reaches[name] = not self.reaches[name]
+        elif luck < 0.08:
+            self.reaches = dict.fromkeys(self.members, False)
+        elif luck < 0.2 and self.reaches[name] and self.members[name].replica.fully_read:
+            self.cancel(f"wk-{step}", self.members[name])
+        elif luck < 0.35 and self.reaches[name]:
+            self.read(self.members[name])
+        elif luck < 0.37:
+            self.restart(name, 100 + step)
         else:
-            other = rng.choice([other for other in members if other != name])
-            peer = member.mesh.peers[other]
-            question = StatusRequest(3, member.replica.applied_revision, peer.log_id, peer.log_position)
-            frames.append((member, other, clock.time, members[other].mesh.status_for(question)))
-        # One question at a time between two of them; its answer takes a while.
-        while frames and (rng.random() < 0.6 or any(frame[:2] == frames[-1][:2] for frame in frames[:-1])):
-            asker, other, asked, answer = frames.pop(0)
-            asker.mesh.apply_status(
-                asker.mesh.peers[other], asked, StatusFrame.unpack(answer.pack()[mesh_frames.HEADER.size :])
+            self.ask(name)
+
+    def cancel(self, job: str, member: Member) -> None:
+        """Stored; sometimes the answer is lost, and the user is told by whoever reads it."""
+        self.service.epoch += 1
+        self.service.rows.append(Cancellation(job, self.service.epoch))
+        if self.rng.random() < 0.7:
+            member.tables.apply(keys.job_key(job), {"s": JobState.CANCELLED, "n": 1, "t": 5}, self.service.epoch)
+            self.confirmed[job] = self.clock.time
+
+    def read(self, member: Member) -> None:
+        member.read(self.service)
+        for row in self.service.rows:
+            self.confirmed.setdefault(row.job, self.clock.time)
+
+    def restart(self, name: str, number: int) -> None:
+        """A process ends. Its successor is up at once; it joins when it can read."""
+        former = self.members[name]
+        fresh = self.members[name] = Member(name, self.clock, number)
+        self.questions = [question for question in self.questions if question.asker is not former]
+        if self.rng.random() < 0.5 and self.reaches[name]:
+            fresh.read(self.service)
+            fresh.join()
+
+    def ask(self, name: str) -> None:
+        member = self.members[name]
+        other = self.rng.choice([other for other in self.members if other != name])
+        peer = member.mesh.peers[other]
+        question = StatusRequest(3, member.replica.applied_revision, peer.log_id, peer.log_position)
+        answer = self.members[other].mesh.status_for(question)
+        self.questions.append(Question(member, other, self.clock.time, answer))
+
+    def deliver_answers(self) -> None:
+        """One question at a time between two of them; its answer takes a while."""
+        while self.questions and (self.rng.random() < 0.6 or self.is_asked_twice()):
+            question = self.questions.pop(0)
+            question.asker.mesh.apply_status(
+                question.asker.mesh.peers[question.member],
+                question.asked_at,
+                StatusFrame.unpack(question.answer.pack()[mesh_frames.HEADER.size :]),
             )
-        for member in members.values():
+
+    def is_asked_twice(self) -> bool:
+        """Whether the last question has one between the same two before it."""
+        return any(question[:2] == self.questions[-1][:2] for question in self.questions[:-1])
+
+    def check(self, step: int) -> None:
+        for member in self.members.values():
             if not member.leadership.may_answer_workers:
                 continue
-            answering_unread += member.replica.applied_revision < service.epoch
-            for job, at in confirmed.items():
-                assert member.knows_of(job) or clock.time <= at + span, (step, job)
-    return answering_unread
+            self.answering_unread += member.replica.applied_revision < self.service.epoch
+            for job, at in self.confirmed.items():
+                assert member.knows_of(job) or self.clock.time <= at + self.span_s, (step, job)
--- a/tests/test_found_completions.py
+++ b/tests/test_found_completions.py
@@ -59,6 +59,15 @@
         progress = self.store.read_again().jobs[JOB].progress
         return bool((progress.done | progress.claims.get("c0.1", 0)) & 0b001)
 
+    def assert_settled_under_the_next_view(self) -> None:
+        """The next view comes before anything is stored, and is recovered only once the completion is settled."""
+        self.store.view(4, ("c0", 1))
+        self.machines.ownership.follow_view()
+        self.machines.task_updates.send()
+        assert self.recovered_views() == []
+        self.commit()
+        assert self.is_settled() and self.recovered_views() == [4]
+
 
 @pytest.mark.parametrize("seed", [2, 3, 4, 5, 7, 8])
 def test_no_completed_task_is_started_once_more_while_controllers_restart(seed: int) -> None:
@@ -162,24 +171,14 @@
     world = Takeover(store)
     world.find((f"{JOB}/0", 5, "running"))
     world.heartbeat(report(3, 3, ENDED))
-    store.view(4, ("c0", 1))
-    world.machines.ownership.follow_view()
-    world.machines.task_updates.send()
-    assert world.recovered_views() == []
-    world.commit()
-    assert world.is_settled() and world.recovered_views() == [4]
+    world.assert_settled_under_the_next_view()
 
 
 def test_a_further_takeover_in_the_middle_settles_the_completion_under_the_next_view(store: Store) -> None:
     """Guards against an adoption that holds for one view only, and is forgotten with it."""
     world = Takeover(store)
     world.find(ENDED)
-    store.view(4, ("c0", 1))
-    world.machines.ownership.follow_view()
-    world.machines.task_updates.send()
-    assert world.recovered_views() == []
-    world.commit()
-    assert world.is_settled() and world.recovered_views() == [4]
+    world.assert_settled_under_the_next_view()
 
 
 def test_a_machine_that_moves_on_in_the_middle_leaves_the_completion_to_its_next_owner(store: Store) -> None:
