A command counts as waiting for its first answer by ownership; invalid answers logged once

A failure of an earlier ownership, minutes old, no longer makes a machine that was not asked yet look as if it had been. Found by reading; the test of a machine that waits for a socket covers it with the failure removed by time. An answer to a command that cannot be read is logged once for each machine, like one to an inspection.

--- a/sloeswitch/actors/commands.py
+++ b/sloeswitch/actors/commands.py
@@ -80,11 +80,13 @@
         self._sockets = anyio.Semaphore(max(1, int(settings.fd_limit * SOCKETS_SHARE)))
         # Machines for which a command waits for a socket: it will carry all that is to be stopped by then.
         self._waiting: set[str] = set()
-        # When the content of the last command to a machine was fixed, and when a machine answered one last.
+        # When the content of the last command to a machine was fixed, when one failed last, and when a machine answered
+        # one last.
         self._begun_at: dict[str, float] = {}
+        self._failed_at: dict[str, float] = {}
         self._replied_at: dict[str, float] = {}
-        # Machines whose invalid answers to inspections were logged.
-        self._invalid_inspections: set[str] = set()
+        # Machines whose invalid answers were logged.
+        self._invalid_repliers: set[str] = set()
 
     def send(self, machine: Machine) -> None:
         """Sends the machine what is to be stopped on it, unless a command for it waits already.
@@ -118,10 +120,11 @@
         """
         self.spawn(self._inspect, name, address, is_wanted)
 
-    def awaits_first_answer(self, machine: str, now: float) -> bool:
-        """Whether a command to the machine waits for a socket or for its answer, and none has failed before it."""
-        is_open = machine in self._waiting or now < self._begun_at.get(machine, float("-inf")) + self.timeout_s
-        return is_open and not self.failures.get(machine)
+    def awaits_first_answer(self, machine: Machine, now: float) -> bool:
+        """Whether a command waits for a socket or for its answer, and none has failed since the machine is ours."""
+        name = machine.name
+        is_open = name in self._waiting or now < self._begun_at.get(name, float("-inf")) + self.timeout_s
+        return is_open and self._failed_at.get(name, float("-inf")) < machine.watched_since
 
     def record_reply(self, machine: str) -> None:
         """The machine reported: earlier failures count no more."""
@@ -140,8 +143,9 @@
         self.failures.pop(machine, None)
         self.probe_at.pop(machine, None)
         self._begun_at.pop(machine, None)
+        self._failed_at.pop(machine, None)
         self._replied_at.pop(machine, None)
-        self._invalid_inspections.discard(machine)
+        self._invalid_repliers.discard(machine)
 
     def record_begun(self, machine: Machine) -> None:
         """The content of a command is being fixed: what is decided from here on needs another one."""
@@ -151,6 +155,7 @@
     def record_failure(self, machine: Machine) -> None:
         """A command found no answer."""
         self.failures[machine.name] = self.failures.get(machine.name, 0) + 1
+        self._failed_at[machine.name] = self.now()
 
     def record_ended(self, machine: Machine) -> None:
         """A command is over, answered or not; a machine that was released meanwhile is probed anew if it comes back."""
@@ -168,8 +173,10 @@
                 await self._send_commands(machine)
         except HttpTransportError:
             self.record_failure(machine)
-        except (wire.MalformedError, ValueError, InboxFullError) as error:
-            log.error("invalid answer to a command: machine=%s error=%s", machine.name, error)
+        except InboxFullError:
+            log.debug("command reply dropped: machine=%s reason=inbox-full", machine.name)
+        except (wire.MalformedError, ValueError) as error:
+            self._log_invalid_answer(machine.name, "command", error)
         finally:
             self.record_ended(machine)
 
@@ -207,18 +214,18 @@
             pass
         except (wire.MalformedError, ValueError) as error:
             # It does not hang, and says nothing of what it holds.
-            self._log_invalid_inspection(name, error)
+            self._log_invalid_answer(name, "inspection", error)
             return
         try:
             self.deliver(InspectionReply(name, report))
         except InboxFullError:
             log.debug("inspection reply dropped: machine=%s reason=inbox-full", name)
 
-    def _log_invalid_inspection(self, machine: str, error: Exception) -> None:
+    def _log_invalid_answer(self, machine: str, request: str, error: Exception) -> None:
         """Once for each machine: a broken one says the same each time."""
-        if machine not in self._invalid_inspections:
-            self._invalid_inspections.add(machine)
-            log.error("invalid answer to an inspection: machine=%s error=%s", machine, error)
+        if machine not in self._invalid_repliers:
+            self._invalid_repliers.add(machine)
+            log.error("invalid answer: machine=%s request=%s error=%s", machine, request, error)
 
     @staticmethod
     def _client(address: str) -> Client:
--- a/sloeswitch/actors/machine_monitor.py
+++ b/sloeswitch/actors/machine_monitor.py
@@ -163,7 +163,7 @@
             self.commands.replied_at(machine.name),
             self.answering_since,
         )
-        return now - since > self.settings.max_silence_s and not self.commands.awaits_first_answer(machine.name, now)
+        return now - since > self.settings.max_silence_s and not self.commands.awaits_first_answer(machine, now)
 
     def _most_machines_lost(self, now: float) -> bool:
         """Whether most machines are silent or unreachable at once.
--- a/tests/test_cancellation_deadline.py
+++ b/tests/test_cancellation_deadline.py
@@ -146,7 +146,7 @@
     """Guards against deletions at large after a takeover of thousands: commands to all of them wait for sockets."""
     takeover = Takeover(store, {"x": 1})
     commands = takeover.world.machines.commands
-    commands.failures.clear()
+    commands._failed_at.clear()
     commands._waiting.update(MACHINES[1:])
     commands.probe_at.update(dict.fromkeys(MACHINES[1:], float("inf")))
     takeover.pass_time(10)
