--- a/sloeswitch/actors/cancellation_watch.py
+++ b/sloeswitch/actors/cancellation_watch.py
@@ -16,10 +16,10 @@
 from sloeswitch.core.cancellation_guard import (
     OVERDUE_SHARE,
     SUSPECT_SHARE,
-    Cancellation,
     CancellationGuard,
+    CancelledJob,
     OwnShard,
-    first_cancellation,
+    first_possible_job,
 )
 from sloeswitch.core.machine import Machine
 from sloeswitch.core.machine_registry import MachineRegistry
@@ -73,9 +73,9 @@
         # the clock.
         self.any_heard_at = float("-inf")
         # Machines that may hold a cancelled task and that nobody has accounted for, as of the last look.
-        self.unaccounted: dict[str, Cancellation] = {}
-        # Cancellations that were overdue when the own machines were checked last, the oldest first.
-        self._overdue: list[Cancellation] = []
+        self.unaccounted: dict[str, CancelledJob] = {}
+        # Cancelled jobs that were overdue when the own machines were checked last, the oldest first.
+        self._overdue: list[CancelledJob] = []
         # Machines whose overdue tasks were logged.
         self._logged: set[str] = set()
 
@@ -120,12 +120,12 @@
         """Whether a machine may be deleted here for a cancelled task whoever owns it."""
         return self.guard.is_deletable(machine)
 
-    def _find_unaccounted(self, now: float, wall_time_ms: int) -> dict[str, Cancellation]:
-        cancellations = self.guard.cancellations(self.tables, now, wall_time_ms, SUSPECT_SHARE)
+    def _find_unaccounted(self, now: float, wall_time_ms: int) -> dict[str, CancelledJob]:
+        cancelled_jobs = self.guard.cancelled_jobs(self.tables, now, wall_time_ms, SUSPECT_SHARE)
         shard = OwnShard(
             self.settings.member, self.leadership.incarnation_id, self.registry.machines, self.registry.released
         )
-        return self.guard.unaccounted(self.tables, shard, cancellations)
+        return self.guard.unaccounted(self.tables, shard, cancelled_jobs)
 
     def _own_holders(self, now: float) -> set[str]:
         """Machines of this controller that are known to hold tasks cancelled some time ago."""
@@ -137,9 +137,9 @@
         if machine is not None and self.is_holding_overdue(machine, now):
             self._scale_in(self.holder_wait(machine, now))
             return
-        cancellation = self.unaccounted.get(name) or self._oldest_overdue(now)
-        if cancellation is not None and cancellation.age_s >= OVERDUE_SHARE * self.settings.cancel_s:
-            self._scale_in(CancelledTaskWait(name, cancellation.job, cancellation.age_s))
+        cancelled = self.unaccounted.get(name) or self._oldest_overdue(now)
+        if cancelled is not None and cancelled.age_s >= OVERDUE_SHARE * self.settings.cancel_s:
+            self._scale_in(CancelledTaskWait(name, cancelled.job, cancelled.age_s))
 
     def _scale_in(self, wait: CancelledTaskWait) -> None:
         if self.scale_in(wait.machine):
@@ -160,9 +160,9 @@
                 wait.cancelled_s,
             )
 
-    def _oldest_overdue(self, now: float) -> Cancellation | None:
+    def _oldest_overdue(self, now: float) -> CancelledJob | None:
         """What machines are suspected for that are suspected by stored claims alone."""
-        overdue = self.guard.cancellations(self.tables, now, self.clock.wall_clock_ms(), OVERDUE_SHARE)
+        overdue = self.guard.cancelled_jobs(self.tables, now, self.clock.wall_clock_ms(), OVERDUE_SHARE)
         return overdue[0] if overdue else None
 
     def _address(self, machine: str) -> str:
@@ -178,7 +178,7 @@
     def has_overdue(self, wall_time_ms: int) -> bool:
         """Whether a job that was cancelled longer ago than a part of the time allowed still has claims."""
         now = self.clock.now()
-        self._overdue = self.guard.cancellations(self.tables, now, wall_time_ms, OVERDUE_SHARE)
+        self._overdue = self.guard.cancelled_jobs(self.tables, now, wall_time_ms, OVERDUE_SHARE)
         return bool(self._overdue)
 
     def unreconciled_wait(self, machine: Machine) -> CancelledTaskWait | None:
@@ -186,7 +186,7 @@
 
         By what `has_overdue` found last.
         """
-        found = first_cancellation(self._overdue, machine, self.leadership.incarnation_id, machine.formerly_owned)
+        found = first_possible_job(self._overdue, machine, self.leadership.incarnation_id, machine.formerly_owned)
         return None if found is None else CancelledTaskWait(machine.name, found.job, found.age_s)
 
     def is_holding_overdue(self, machine: Machine, now: float) -> bool:
@@ -197,8 +197,8 @@
     def waits(self, now: float) -> list[CancelledTaskWait]:
         """Machines on which a cancelled task is or may be, as far as known here; the longest cancelled first."""
         waits = [
-            CancelledTaskWait(name, cancellation.job, cancellation.age_s)
-            for name, cancellation in self.unaccounted.items()
+            CancelledTaskWait(name, cancelled.job, cancelled.age_s)
+            for name, cancelled in self.unaccounted.items()
             if self.guard.is_inspected(name)
         ]
         waits += [self.holder_wait(machine, now) for machine in self.registry.machines.values() if is_holder(machine)]
--- a/sloeswitch/core/cancellation_guard.py
+++ b/sloeswitch/core/cancellation_guard.py
@@ -32,7 +32,7 @@
 MAX_FAILED_INSPECTIONS = 2
 
 
-class Cancellation(NamedTuple):
+class CancelledJob(NamedTuple):
     """A cancelled job of which tasks may exist.
 
     Attributes:
@@ -108,7 +108,7 @@
     # Since when each machine has been suspected without a break.
     _suspected_since: dict[str, float] = field(default_factory=dict)
 
-    # -- cancellations
+    # -- cancelled jobs
 
     def observe(self, tables: Tables, now: float) -> None:
         """Notes since when each cancellation is known here whose tasks may exist.
@@ -127,15 +127,15 @@
             return observed_s
         return max(observed_s, (wall_clock_ms - job.cancelled_ms) / 1000)
 
-    def cancellations(self, tables: Tables, now: float, wall_clock_ms: int, share: float) -> list[Cancellation]:
-        """Cancellations older than a share of the time in which their tasks must be gone, the oldest first."""
-        old: list[Cancellation] = []
+    def cancelled_jobs(self, tables: Tables, now: float, wall_clock_ms: int, share: float) -> list[CancelledJob]:
+        """Jobs cancelled for longer than a share of the time in which their tasks must be gone, the longest first."""
+        old: list[CancelledJob] = []
         for name, job in tables.jobs.items():
             if job.is_cancelled and job.progress.claims:
-                old.append(Cancellation(name, job, self.age_s(name, job, now, wall_clock_ms)))
+                old.append(CancelledJob(name, job, self.age_s(name, job, now, wall_clock_ms)))
         for name in tables.peer_cancellations:
             if name not in tables.jobs:
-                old.append(Cancellation(name, None, self.age_s(name, None, now, wall_clock_ms)))
+                old.append(CancelledJob(name, None, self.age_s(name, None, now, wall_clock_ms)))
         old = [each for each in old if each.age_s >= share * self.settings.cancel_s]
         return sorted(old, key=lambda each: -each.age_s)
 
@@ -148,7 +148,7 @@
         had claimed may be on any machine.
         """
         incarnation_ids: set[str] = set()
-        for each in self.cancellations(tables, now, wall_clock_ms, OVERDUE_SHARE):
+        for each in self.cancelled_jobs(tables, now, wall_clock_ms, OVERDUE_SHARE):
             # Without a row nothing is known of its claims: any controller may have some.
             incarnation_ids.update(tables.view.incarnation_ids if each.row is None else each.row.progress.claims)
         incarnation_ids -= {incarnation_id}
@@ -164,18 +164,18 @@
         return {name for name in tables.machines if tables.view.owner(name) in members}
 
     def unaccounted(
-        self, tables: Tables, shard: OwnShard, cancellations: list[Cancellation]
-    ) -> dict[str, Cancellation]:
-        """Machines that their owners have not accounted for, with the oldest cancellation that may concern them.
+        self, tables: Tables, shard: OwnShard, cancelled_jobs: list[CancelledJob]
+    ) -> dict[str, CancelledJob]:
+        """Machines that their owners have not accounted for, with the job cancelled longest ago that may be there.
 
         Args:
             tables: The replicated tables, read afresh a short while ago.
             shard: What this controller knows of machines.
-            cancellations: The oldest first.
+            cancelled_jobs: Those cancelled longest ago first.
         """
-        if not cancellations:
+        if not cancelled_jobs:
             return {}
-        found: dict[str, Cancellation] = {}
+        found: dict[str, CancelledJob] = {}
         unrecovered = tables.unrecovered_members() - {shard.member}
         for name, row in tables.machines.items():
             own = shard.machines.get(name)
@@ -185,19 +185,19 @@
                 unaccounted, formerly_owned = tables.view.owner(name) in unrecovered, name in shard.released
             if not unaccounted:
                 continue
-            concerned = first_cancellation(cancellations, row, shard.incarnation_id, formerly_owned)
-            if concerned is not None:
-                found[name] = concerned
+            job = first_possible_job(cancelled_jobs, row, shard.incarnation_id, formerly_owned)
+            if job is not None:
+                found[name] = job
         return found
 
-    def due_suspects(self, unaccounted: dict[str, Cancellation], now: float) -> set[str]:
+    def due_suspects(self, unaccounted: dict[str, CancelledJob], now: float) -> set[str]:
         """Machines to be inspected: their owners had the time of a report to account for them, or none is left."""
         self._suspected_since = {name: self._suspected_since.get(name, now) for name in unaccounted}
         pressing_s = PRESSING_SHARE * self.settings.cancel_s
         return {
             name
-            for name, cancellation in unaccounted.items()
-            if cancellation.age_s >= pressing_s or now - self._suspected_since[name] >= self.settings.late_s
+            for name, job in unaccounted.items()
+            if job.age_s >= pressing_s or now - self._suspected_since[name] >= self.settings.late_s
         }
 
     # -- inspections
@@ -254,11 +254,11 @@
             inspection.inspect_at = float("-inf")
 
 
-def first_cancellation(
-    cancellations: list[Cancellation], machine: MachineAttributes, incarnation_id: str, formerly_owned: bool
-) -> Cancellation | None:
-    """The first cancellation of which a task may be on a machine that nobody has accounted for; see `may_be_on`."""
-    return next((each for each in cancellations if each.may_be_on(machine, incarnation_id, formerly_owned)), None)
+def first_possible_job(
+    cancelled_jobs: list[CancelledJob], machine: MachineAttributes, incarnation_id: str, formerly_owned: bool
+) -> CancelledJob | None:
+    """The first job of which a task may be on a machine that nobody has accounted for; see `may_be_on`."""
+    return next((each for each in cancelled_jobs if each.may_be_on(machine, incarnation_id, formerly_owned)), None)
 
 
 def holds_cancelled(report: WorkerReport, tables: Tables) -> bool:
