--- a/sloeswitch/actors/machine_monitor.py
+++ b/sloeswitch/actors/machine_monitor.py
@@ -49,7 +49,8 @@
         self.cancellations = cancellations
         self.termination = termination
         self.wake = wake
-        # For so long messages may arrive in one direction only before a machine is deleted.
+        # For so long a machine may be silent, or messages arrive in one direction only, before it is deleted.
+        self.max_silence_s = context.settings.max_silence_s
         self.max_one_way_s = 2 * context.settings.lease_s
         self.next_check_at = 0.0
         self.ticked_at = float("-inf")
@@ -111,9 +112,9 @@
             one_way_s: For how long messages have arrived in one direction only, at most.
             now: The clock's time in seconds.
         """
-        silent = silent_s > self.settings.max_silence_s
-        wait = self._overdue_wait(machine, now) if self.leadership.may_answer_workers else None
-        if wait is not None:
+        silent = silent_s > self.max_silence_s
+        wait = self._overdue_wait(machine, now)
+        if wait is not None and self.leadership.may_answer_workers:
             # Whether it hangs, is cut off or receives nothing: its deletion ends what is on it in time, also while
             # the state service is down. Should it have got another owner after all, that one counts it as silent:
             # work is lost, nothing is started twice.
@@ -164,7 +165,7 @@
             self.commands.replied_at(machine.name),
             self.answering_since,
         )
-        return now - since > self.settings.max_silence_s and not self.commands.awaits_first_answer(machine, now)
+        return now - since > self.max_silence_s and not self.commands.awaits_first_answer(machine, now)
 
     def _most_machines_lost(self, now: float) -> bool:
         """Whether most machines are silent or unreachable at once.
