--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -58,7 +58,7 @@
 class Deployment:
     """The state service, the cloud with its workers, and three controllers."""
 
-    def __init__(self, record_path: Path, machines_per_zone: int, most_per_zone: int) -> None:
+    def __init__(self, record_path: Path, machines_per_zone: int, most_per_zone: int, zones: int = 2) -> None:
         self.record = Recorder(record_path)
         ports = iter(free_ports(80))
         settings = (Path(__file__).resolve().parent / "fjordvik.toml").read_text(encoding="utf-8")
@@ -72,7 +72,7 @@
         def make_worker(name: str, kind: Kind) -> Worker:
             return Worker(name, kind, self.cluster.ports, timing, self.jobs, self.record)
 
-        kinds = [(Kind(LUNDI, zone, True), most_per_zone) for zone in LUNDI["districts"]]
+        kinds = [(Kind(LUNDI, zone, True), most_per_zone) for zone in LUNDI["districts"][:zones]]
         self.cloud = Cloud(kinds, make_worker, lambda: next(ports))
 
     def rent(self) -> None:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -23,11 +23,13 @@
 
 @dataclass
 class Timing:
-    """The times of `deployment.workers` and how long fetches take."""
+    """The times of `deployment.workers`, and how long fetches take."""
 
     report_s: float
     lease_s: float
     fetch_s: float = 0.5
+    # How long a faulty machine runs a task before it fails.
+    fail_s: float = 0.5
 
 
 @dataclass
@@ -58,6 +60,7 @@
     run_s: dict[str, float] = field(default_factory=dict)
     started: Counter[str] = field(default_factory=Counter)
     finished: Counter[str] = field(default_factory=Counter)
+    failed: Counter[str] = field(default_factory=Counter)
 
 
 class Worker:
@@ -76,6 +79,8 @@
         self.changed = asyncio.Event()
         self.loops: list[asyncio.Task[None]] = []
         self.server: asyncio.Server | None = None
+        # Whether the machine fails every task that it starts.
+        self.sick = False
 
     async def start(self, port: int) -> None:
         """Begins to serve commands and to report."""
@@ -208,6 +213,12 @@
         task.status = "running"
         self.jobs.started[spec["id"]] += 1
         self.changed.set()
+        if self.sick:
+            await asyncio.sleep(self.timing.fail_s)
+            self.record(f"{self.name} fails {task.name}, attempt {task.attempt}")
+            self.jobs.failed[spec["id"]] += 1
+            self._end(task, "error")
+            return
         await asyncio.sleep(self.jobs.run_s[spec["id"]])
         self.jobs.finished[spec["id"]] += 1
         self._end(task, "done")
