--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,6 +25,8 @@
 # How many of the three controllers crash.
 CRASHED = int(os.environ.get("CRASHED", "3"))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+
 def preload(deployment: Deployment) -> None:
     """Stores the finished jobs of a day, in the form in which a controller stores them."""
     now_ms = int(time.time() * 1000)
@@ -51,7 +53,9 @@
     preload(deployment)
     if not await deployment.start():
         return 2
-    if not await deployment.submit(submission("wk-900001", 4), 2.0) or not await deployment.wait_done("wk-900001", 15.0):
+    if not await deployment.submit(submission("wk-900001", 4), 2.0) or not await deployment.wait_done(
+        "wk-900001", 15.0
+    ):
         return 2
     old = f"wk-{FINISHED_JOBS // 2:06d}"
     if await deployment.ask(old) != "done" or not await deployment.submit(submission("wk-900002", 4), 10.0):
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -60,7 +60,9 @@
     """Plays the case; returns the exit status."""
     if not await deployment.start():
         return 2
-    if not await deployment.submit(submission("wk-000001", 1), 1.0) or not await deployment.wait_done("wk-000001", 15.0):
+    if not await deployment.submit(submission("wk-000001", 1), 1.0) or not await deployment.wait_done(
+        "wk-000001", 15.0
+    ):
         return 2
     if len(deployment.cloud.instances) != 1:
         return 2
--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
+import random
 import shlex
 import shutil
 import socket
@@ -23,19 +25,27 @@
 SUBMIT_TIMEOUT_S = 5.0
 SUBMIT_FOR_S = 60.0
 Answer = tuple[int, Any] | None
+PORTS = (20_000, 32_000)
 # A file of the controllers, by its extension.
 LOG = "log"
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports of 127.0.0.1 that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [int(each.getsockname()[1]) for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Ports of 127.0.0.1 that are free now, outside the range from which clients' ports are taken.
+
+    A controller that is started again needs its port, which must not be in use by a connection meanwhile.
+    """
+    found: list[int] = []
+    candidates = list(range(*PORTS))
+    random.shuffle(candidates)
+    for port in candidates:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind(("127.0.0.1", port))
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise OSError("no free ports")
 
 
 class Recorder:
@@ -76,7 +86,9 @@
             text = f'member = "{member}"\nzone = "{zone}"\nbind = "127.0.0.1:{port}"\nmesh_addr = "127.0.0.1:{mesh}"\n'
             for other, other_zone, _, other_mesh in members:
                 if other != member:
-                    text += f'[[siblings]]\nmember = "{other}"\nzone = "{other_zone}"\naddress = "127.0.0.1:{other_mesh}"\n'
+                    text += (
+                        f'[[siblings]]\nmember = "{other}"\nzone = "{other_zone}"\naddress = "127.0.0.1:{other_mesh}"\n'
+                    )
             text += f'[outside]\ncloud = "127.0.0.1:{self.cloud_port}"\nstate = "127.0.0.1:{self.state_port}"\n'
             config = self.folder / f"{member}.toml"
             config.write_text(text + deployment, encoding="utf-8")
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from cluster import Cluster, Recorder, free_ports
-from fleet import Cloud, Jobs, Kind, Timing, Worker
+from fleet import Cloud, Jobs, Kind, Timing, Worker, World
 from httpd import serve
 from state import Limits, StateService
 
@@ -60,20 +60,20 @@
 
     def __init__(self, record_path: Path, machines_per_zone: int, most_per_zone: int, zones: int = 2) -> None:
         self.record = Recorder(record_path)
-        ports = iter(free_ports(80))
+        ports = iter(free_ports(10))
         settings = (Path(__file__).resolve().parent / "fjordvik.toml").read_text(encoding="utf-8")
         self.cluster = Cluster(ZONES, settings, lambda: next(ports), self.record)
         self.state = StateService(Limits(rps=60.0, write_rps=20.0, value_kb=16.0, txn_ops=12))
         self.jobs = Jobs()
         self.machines_per_zone = machines_per_zone
         self.tasks: list[asyncio.Task[None]] = []
-        timing = Timing(report_s=1.0, lease_s=12.0)
+        world = World(self.cluster.ports, Timing(report_s=1.0, lease_s=12.0), self.jobs, self.record)
 
         def make_worker(name: str, kind: Kind) -> Worker:
-            return Worker(name, kind, self.cluster.ports, timing, self.jobs, self.record)
+            return Worker(name, kind, world)
 
         kinds = [(Kind(LUNDI, zone, True), most_per_zone) for zone in LUNDI["districts"][:zones]]
-        self.cloud = Cloud(kinds, make_worker, lambda: next(ports))
+        self.cloud = Cloud(kinds, make_worker)
 
     def rent(self) -> None:
         """Adds the machines that are up at the start."""
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -14,8 +14,6 @@
 
 Reply = tuple[int, Any]
 Record = Callable[[str], None]
-# Returns a new port.
-PortSource = Callable[[], int]
 MAX_INSTANCES_PER_REQUEST = 50
 ANSWER_TIMEOUT_S = 4.0
 MIN_REPORT_PAUSE_S = 0.5
@@ -63,17 +61,27 @@
     failed: Counter[str] = field(default_factory=Counter)
 
 
+@dataclass
+class World:
+    """What all workers share: the ports of the controllers, the times, the jobs and the record."""
+
+    nodes: dict[str, int]
+    timing: Timing
+    jobs: Jobs
+    record: Record
+
+
 class Worker:
     """The agent of one machine: reports, executes commands, and drops its tasks when its lease is over."""
 
-    def __init__(self, name: str, kind: Kind, nodes: dict[str, int], timing: Timing, jobs: Jobs, record: Record) -> None:
-        self.name, self.kind, self.timing, self.jobs, self.record = name, kind, timing, jobs, record
-        self.nodes = nodes
+    def __init__(self, name: str, kind: Kind, world: World) -> None:
+        self.name, self.kind = name, kind
+        self.timing, self.jobs, self.record, self.nodes = world.timing, world.jobs, world.record, world.nodes
         self.port = 0
         self.shift, self.tally, self.baton = 1, 0, 0
         self.tasks: dict[tuple[str, int], Task] = {}
         self.images: set[str] = set()
-        self.node = sorted(nodes)[hash(name) % len(nodes)]
+        self.node = sorted(self.nodes)[hash(name) % len(self.nodes)]
         self.connection: Connection | None = None
         self.lease_from = time.monotonic()
         self.changed = asyncio.Event()
@@ -82,11 +90,11 @@
         # Whether the machine fails every task that it starts.
         self.sick = False
 
-    async def start(self, port: int) -> None:
-        """Begins to serve commands and to report."""
-        self.port = port
+    async def start(self) -> None:
+        """Begins to serve commands, on a free port, and to report."""
         self.lease_from = time.monotonic()
-        self.server = await serve(port, self.handle)
+        self.server = await serve(0, self.handle)
+        self.port = int(self.server.sockets[0].getsockname()[1])
         self.loops = [asyncio.create_task(self._report_forever()), asyncio.create_task(self._expire_forever())]
 
     def stop(self) -> None:
@@ -243,8 +251,8 @@
 class Cloud:
     """The cloud: rents machines up to a number of each kind, lists and deletes them."""
 
-    def __init__(self, kinds: list[tuple[Kind, int]], make_worker: Callable[[str, Kind], Worker], ports: PortSource) -> None:
-        self.kinds, self.make_worker, self.ports = kinds, make_worker, ports
+    def __init__(self, kinds: list[tuple[Kind, int]], make_worker: Callable[[str, Kind], Worker]) -> None:
+        self.kinds, self.make_worker = kinds, make_worker
         self.instances: dict[str, Instance] = {}
         self.bookings: dict[str, list[str]] = {}
         self.count = 0
@@ -264,7 +272,7 @@
         await asyncio.sleep(boot_s)
         if name in self.instances:
             instance.worker = self.make_worker(name, instance.kind)
-            await instance.worker.start(self.ports())
+            await instance.worker.start()
 
     def _find(self, body: dict[str, Any]) -> tuple[Kind, int] | None:
         return next(
@@ -299,9 +307,7 @@
         count = min(body["count"], MAX_INSTANCES_PER_REQUEST, found[1] - held) if found else 0
         if found is None or count <= 0:
             return 503, {"error": "no capacity"}
-        names = self.bookings[body["booking"]] = [
-            self.rent(found[0], found[0].build["readyS"]) for _ in range(count)
-        ]
+        names = self.bookings[body["booking"]] = [self.rent(found[0], found[0].build["readyS"]) for _ in range(count)]
         return 200, {"hosts": names}
 
     def _list(self, query: dict[str, str]) -> Reply:
--- a/review/standins/state.py
+++ b/review/standins/state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import bisect
+import contextlib
 import itertools
 import json
 import time
@@ -150,10 +151,8 @@
             left_s = ends_at - time.monotonic()
             if found or left_s <= 0:
                 return 200, b'{"epoch":%d,"events":[%s]}' % (self.epoch, b",".join(found))
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), left_s)
-            except TimeoutError:
-                pass
 
     def _events_after(self, after: int) -> list[tuple[int, str, bytes]]:
         newest_first = itertools.takewhile(lambda event: event[0] > after, reversed(self.events))
@@ -165,7 +164,9 @@
         changes = body.get("then") or []
         if len(changes) > self.limits.txn_ops or len(body.get("if") or []) > 4 * self.limits.txn_ops:
             return 400, {"error": "too large"}
-        values = {each["write"]: json.dumps(each["v"], separators=(",", ":")).encode() for each in changes if "write" in each}
+        values = {
+            each["write"]: json.dumps(each["v"], separators=(",", ":")).encode() for each in changes if "write" in each
+        }
         if any(len(value) > 1024 * self.limits.value_kb for value in values.values()):
             return 400, {"error": "value too large"}
         if changes and not self.writes.take(len(changes)):
