--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
-from deployment import Deployment, submission  # noqa: E402
+from deployment import Deployment, play, submission  # noqa: E402
 
 # Fjordvik submits 7.7 + 3.1 + 18 jobs a minute (BRIEF): this many in two days, each of which has to stay known.
 FINISHED_JOBS = int(os.environ.get("FINISHED_JOBS", "82944"))
@@ -82,16 +82,5 @@
     return 1 if not answered else 2
 
 
-async def main() -> int:
-    """Runs the case and ends all processes."""
-    deployment = Deployment(HERE / "record.txt", machines_per_zone=1, most_per_zone=4)
-    try:
-        status = await run(deployment)
-        deployment.record(f"exit {status}")
-        return status
-    finally:
-        deployment.close()
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(play(Deployment(HERE / "record.txt", machines_per_zone=1, most_per_zone=4), run))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
-from deployment import Deployment, submission  # noqa: E402
+from deployment import Deployment, play, submission  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # The site files let a machine fail its tasks for 60 to 150 s; this one does so until its first failure is over.
@@ -78,16 +78,5 @@
     return await wait_begun(deployment)
 
 
-async def main() -> int:
-    """Runs the case and ends all processes."""
-    deployment = Deployment(HERE / "record.txt", machines_per_zone=1, most_per_zone=10, zones=1)
-    try:
-        status = await run(deployment)
-        deployment.record(f"exit {status}")
-        return status
-    finally:
-        deployment.close()
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(play(Deployment(HERE / "record.txt", machines_per_zone=1, most_per_zone=10, zones=1), run))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
+import traceback
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -26,6 +29,8 @@
     "districts": ["reykjavik", "keflavik"],
 }
 START_TIMEOUT_S = 15.0
+# The exit status of a case that found its rule broken; Python itself exits with 1 for a fault of the case.
+BROKEN = 10
 
 
 def submission(name: str, tasks: int, **fields: Any) -> dict[str, Any]:
@@ -131,3 +136,29 @@
         for task in self.tasks:
             task.cancel()
         self.cluster.close()
+
+
+def play(deployment: Deployment, course: Callable[[Deployment], Awaitable[int]]) -> int:
+    """Plays the course of a case and ends all processes.
+
+    Returns:
+        0 if the rule held, `BROKEN` if the course returns 1, and 2 if it could not be played to its end.
+    """
+
+    async def run() -> int:
+        try:
+            status = await course(deployment)
+        except Exception:
+            deployment.record(traceback.format_exc())
+            status = 2
+        finally:
+            deployment.close()
+        deployment.record(f"exit {status}")
+        return status
+
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        status = asyncio.run(run())
+        return BROKEN if status == 1 else status
+    except KeyboardInterrupt:
+        return 2
--- a/review/standins/state.py
+++ b/review/standins/state.py
@@ -66,6 +66,8 @@
         self.values: dict[str, bytes] = {}
         self.stamps: dict[str, int] = {}
         self.permits: dict[str, int] = {}
+        # The rows as they are sent, so that a page of 1,000 costs little.
+        self.rows: dict[str, bytes] = {}
         self.sorted_keys: list[str] = []
         self.epoch = 1
         self.oldest = 1
@@ -80,6 +82,7 @@
         for key, value in rows.items():
             self.epoch += 1
             self.values[key], self.stamps[key] = json.dumps(value, separators=(",", ":")).encode(), self.epoch
+            self.rows[key] = self._row(key)
         self.sorted_keys = sorted(self.values)
         self.oldest = self.epoch
 
@@ -131,7 +134,7 @@
         for key in itertools.islice(self.sorted_keys, start, None):
             if not key.startswith(prefix):
                 break
-            row = self._row(key)
+            row = self.rows[key]
             if len(rows) == limit or size + len(row) > MAX_PAGE_BYTES:
                 more = True
                 break
@@ -191,6 +194,7 @@
             bisect.insort(self.sorted_keys, key)
         self._detach(key)
         self.values[key], self.stamps[key] = value, self.epoch
+        self.rows[key] = self._row(key)
         if permit:
             self.permits[key] = permit
             self.grants[permit].keys.add(key)
@@ -201,7 +205,7 @@
         if key not in self.values:
             return
         self._detach(key)
-        del self.values[key], self.stamps[key]
+        del self.values[key], self.stamps[key], self.rows[key]
         self.sorted_keys.pop(bisect.bisect_left(self.sorted_keys, key))
         self._log(key, b'{"drop":%s,"stamp":%d}' % (json.dumps(key).encode(), self.epoch))
 
