State client: empty the bucket of request tokens after a 429 answer

Cause: a controller outside the view uses the rate as well, and a client that was refused went on as before; only refused transactions slowed it down.

Change: a refused request empties the bucket of request tokens, as a refused transaction empties that of write tokens. Transactions are left out, since they may be over the other limit.

--- a/sloeswitch/rate_budget.py
+++ b/sloeswitch/rate_budget.py
@@ -62,3 +62,11 @@
             self.tokens -= cost
             return 0.0
         return (needed - self.tokens) / self.rate
+
+    def empty(self) -> None:
+        """Takes all tokens, after the service refused a request for its rate (429).
+
+        Its limit was lowered, or other controllers use more than this one expects: after a restart the view of each
+        controller may show other members for a while. Requests of low priority now wait until the bucket has refilled.
+        """
+        self.tokens = min(self.tokens, 0.0)
--- a/sloeswitch/state_client.py
+++ b/sloeswitch/state_client.py
@@ -37,6 +37,8 @@
 LOWERED_FRACTION_OF_VALUE = 0.7
 # The value limit is never lowered below this fraction of the configured limit.
 MIN_FRACTION_OF_VALUE_LIMIT = 1 / 8
+# Transactions, which the state service refuses above either of its two rate limits.
+TRANSACTION_PATH = "/multi"
 # The status under which requests without an answer are counted.
 NO_ANSWER = "none"
 # How much of the answer to a rejected transaction is logged.
@@ -173,6 +175,8 @@
             raise
         self.requests_by_status[str(int(reply.status))] += 1
         self._record_status(reply.status)
+        if reply.status == HTTPStatus.TOO_MANY_REQUESTS and path != TRANSACTION_PATH:
+            self.request_tokens.empty()
         return reply
 
     @property
@@ -230,7 +234,7 @@
         self, body: bytes, transaction: Transaction, priority: RequestPriority
     ) -> TransactionResult:
         try:
-            reply = await self.call("POST", "/multi", body, priority)
+            reply = await self.call("POST", TRANSACTION_PATH, body, priority)
             result = transaction_result(reply)
         except HttpTransportError as error:
             log.debug("transaction without answer: error=%s", error)
@@ -248,9 +252,8 @@
             log.error("transaction refused: answer=%s", reply.body[:LOGGED_ANSWER_BYTES])
             self._lower_limits(transaction)
         elif reply.status == HTTPStatus.TOO_MANY_REQUESTS:
-            # The limit was lowered, or another controller sent a burst. Emptying the bucket delays the next write.
             log.info("transaction over the rate: changes=%d", len(transaction))
-            self.write_tokens.tokens = min(self.write_tokens.tokens, 0.0)
+            self.write_tokens.empty()
 
     def _lower_limits(self, transaction: Transaction) -> None:
         """Lowers the limits below the size of a rejected transaction.
--- a/tests/test_snapshot_rate_limit.py
+++ b/tests/test_snapshot_rate_limit.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import random
+from http import HTTPStatus
+from itertools import pairwise
 
 import anyio
 import pytest
 from anyio.abc import TaskGroup
 
 from sloeswitch import wire
+from sloeswitch.actors.membership import RENEWALS_PER_LEASE
 from sloeswitch.core import keys
 from sloeswitch.core.tables import Tables
+from sloeswitch.rate_budget import RequestPriority
 from sloeswitch.replica import Replica
 from sloeswitch.settings import parse
 from tests.conftest import SETTINGS
@@ -81,3 +85,40 @@
     service, replicas = run_in_virtual_time(load_replicas, 3, 0.0, 10.0)
     assert service.statuses[503] and all(replica.loaded for replica in replicas)
     assert service.pages_answered == 3 * PAGES
+
+
+async def renew_beside_restarts(restarted: int) -> tuple[RateLimitedState, list[float]]:
+    """Restarts controllers beside a busy one, which alone has the whole rate by its view; returns its renewal times."""
+    service = RateLimitedState(RATE_RPS, finished_jobs(), ROWS_PER_PAGE)
+    client = connect(service, LIMITED, controller_count=1)
+    renewed_at = [anyio.current_time()]
+
+    async def read_forever() -> None:
+        while True:
+            await client.call("GET", "/kv?starts=none", None, RequestPriority.CLAIM)
+
+    async def renew_forever() -> None:
+        while True:
+            sent_at = anyio.current_time()
+            reply = await client.call("POST", "/grants/1/renew", b"{}", RequestPriority.LEASE)
+            if reply.status == HTTPStatus.OK:
+                renewed_at.append(sent_at)
+            await anyio.sleep(LIMITED.controller_lease_s / RENEWALS_PER_LEASE)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(read_forever)
+        group.start_soon(renew_forever)
+        replicas = start_replicas(group, service, restarted)
+        await anyio.sleep(FORGOTTEN_AFTER_S)
+        group.cancel_scope.cancel()
+    assert all(replica.loaded for replica in replicas), service.statuses
+    return service, renewed_at
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("restarted", [1, 2])
+def test_a_busy_controller_keeps_its_lease_while_others_load_their_snapshots(restarted: int, seed: int) -> None:
+    """Guards against snapshots that take the whole request rate, so that lease renewals are refused."""
+    random.seed(seed)
+    _service, renewed_at = run_in_virtual_time(renew_beside_restarts, restarted)
+    assert max(later - earlier for earlier, later in pairwise(renewed_at)) < LIMITED.controller_lease_s
