--- a/sloeswitch/core/stored_state.py
+++ b/sloeswitch/core/stored_state.py
@@ -39,7 +39,7 @@
     """The decoded rows of the state service."""
 
     def __init__(self, cancellations: CancellationLog | None = None) -> None:
-        # `clear` keeps both of these fields.
+        # `clear` and `replace_rows` keep both of these fields.
         # The stored cancellations, for sending to siblings.
         self.cancellations = cancellations or CancellationLog(1, 0)
         # Cancellations received from siblings whose rows are not read yet: job -> revision.
@@ -47,13 +47,19 @@
         self.clear()
 
     def clear(self) -> None:
-        """Drops all rows before a full read; keeps both cancellation fields."""
+        """Drops all rows; keeps both cancellation fields."""
         # The latest revision read of each row, by key; rows of jobs that are final are left out.
         self.mod_revisions: dict[str, int] = {}
         self._clear_controllers()
         self._clear_jobs()
         self._clear_machines()
 
+    def replace_rows(self, other: StoredState) -> None:
+        """Takes over all rows of another state, which must not be used afterwards; keeps both cancellation fields."""
+        cancellations, peer_cancellations = self.cancellations, self.peer_cancellations
+        vars(self).update(vars(other))
+        self.cancellations, self.peer_cancellations = cancellations, peer_cancellations
+
     def _clear_controllers(self) -> None:
         """Clears the rows of controllers, features, admission, handoff floors and quotas."""
         self.members: dict[str, MemberRow] = {}
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -69,6 +69,31 @@
         except DECODE_ERRORS as error:
             log.error("stored value is malformed: key=%s error=%r", key, error)
 
+    def replace_by_snapshot(self, snapshot: Tables) -> None:
+        """Replaces all rows by those of a snapshot, which must not be used afterwards.
+
+        Siblings may have reported cancellations while the snapshot was read, after the pages with the rows of the jobs.
+        They are applied to the snapshot's rows, unless these already show them.
+        """
+        self.replace_rows(snapshot)
+        for job_id in list(self.peer_cancellations):
+            if self._is_stored_as_cancelled(job_id):
+                del self.peer_cancellations[job_id]
+            else:
+                self._cancel_by_sibling(job_id)
+
+    def _is_stored_as_cancelled(self, job_id: str) -> bool:
+        """Whether the row read last shows the job as cancelled, provided that no sibling's report is applied to it."""
+        known = self.finished_jobs.get(job_id) or self.jobs.get(job_id)
+        return known is not None and known.status == JobState.CANCELLED
+
+    def _cancel_by_sibling(self, job_id: str) -> None:
+        """Treats a job as cancelled before its row is read."""
+        job = self.jobs.get(job_id)
+        if job is not None:
+            job.status = JobState.CANCELLED
+        self.graph.cancel(job_id)
+
     def apply_peer_cancellation(self, cancellation: Cancellation) -> None:
         """Applies a cancellation that is stored, as a sibling reports, but whose row this controller has not read.
 
@@ -85,9 +110,7 @@
             return
         self.peer_cancellations[job_id] = cancellation.revision
         self.cancellations.add(job_id, cancellation.revision)
-        if job is not None:
-            job.status = JobState.CANCELLED
-        self.graph.cancel(job_id)
+        self._cancel_by_sibling(job_id)
 
     # -- queries
 
--- a/sloeswitch/replica.py
+++ b/sloeswitch/replica.py
@@ -191,20 +191,31 @@
     async def _load(self) -> None:
         """Replaces the tables with a snapshot; changes made during the read follow through the change feed.
 
+        Each page is applied to tables of its own as soon as it is read, and other tasks run between the pages. Until
+        the last page is applied, `tables` holds the rows from before.
+
         The tables do not count as linearizable until those changes are applied. Pages are read in key order, so a
         snapshot can contain a view but lack a group of machines that was stored just before the view. This controller
         must not lead under that view until it has the group.
         """
-        snapshot = await read_snapshot(self.client)
+        started_at = self.now()
+        snapshot = Tables(self.tables.cancellations)
+        rows = 0
+
+        def apply_page(page: list[wire.StoredRow]) -> None:
+            nonlocal rows
+            rows += len(page)
+            for row in page:
+                snapshot.apply(row.key, row.value, row.mod_revision)
+
+        revision = await read_snapshot(self.client, apply_page)
         self._own_writes.clear()
-        self.tables.clear()
-        for row in snapshot.rows:
-            self.tables.apply(row.key, row.value, row.mod_revision)
-        self.applied_revision = snapshot.revision
+        self.tables.replace_by_snapshot(snapshot)
+        self.applied_revision = revision
         self.loaded = self.fully_read = True
         self.linearizable_at = float("-inf")
         self.request_read()
-        log.info("snapshot loaded: rows=%d revision=%d", len(snapshot.rows), snapshot.revision)
+        log.info("snapshot loaded: rows=%d revision=%d read_s=%.1f", rows, revision, self.now() - started_at)
         self._notify()
 
     async def _read_changes(self, hold_s: float) -> None:
--- a/sloeswitch/state_reads.py
+++ b/sloeswitch/state_reads.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
+from collections.abc import Callable
 from http import HTTPStatus
 
 import anyio
@@ -54,35 +54,31 @@
         self.after_revision = after_revision
 
 
-@dataclass(frozen=True)
-class Snapshot:
-    """All rows of this cell.
-
-    Attributes:
-        revision: The revision of the first page. Later pages may include later changes, so the change feed must be read
-            from this revision.
-        rows: The rows in key order.
-    """
-
-    revision: int
-    rows: list[wire.StoredRow]
-
-
-async def read_snapshot(client: StateClient) -> Snapshot:
-    """Reads all rows, page by page; a page that is refused or gets no answer is read again.
+async def read_snapshot(client: StateClient, apply_page: Callable[[list[wire.StoredRow]], None]) -> int:
+    """Reads all rows of this cell in key order, page by page; a page that is refused or gets no answer is read again.
 
     The pages that were read before stay valid however long that takes, because all changes since the first page follow
     through the change feed.
 
+    Args:
+        client: The client of the state service.
+        apply_page: Called with the rows of each page before the next page is requested, so that only one page is held
+            in memory.
+
+    Returns:
+        The revision of the first page. Later pages may include later changes, so the change feed must be read from this
+        revision.
+
     Raises:
         StateReadError: An answer was unusable, and the same request would get the same answer again.
     """
     page = await _read_page_with_retries(client, after_key="")
-    snapshot = Snapshot(page.revision, list(page.rows))
+    revision = page.revision
+    apply_page(page.rows)
     while page.more and page.rows:
         page = await _read_page_with_retries(client, after_key=page.rows[-1].key)
-        snapshot.rows.extend(page.rows)
-    return snapshot
+        apply_page(page.rows)
+    return revision
 
 
 async def _read_page_with_retries(client: StateClient, after_key: str) -> wire.StoredRowPage:
--- a/tests/test_shard_recovery.py
+++ b/tests/test_shard_recovery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import anyio
 import pytest
 
@@ -9,7 +11,6 @@
 from sloeswitch.actors.membership import ShardRecovered
 from sloeswitch.core import keys
 from sloeswitch.state_client import StateClient
-from sloeswitch.state_reads import Snapshot
 from sloeswitch.wire import StoredRow
 from tests.conftest import Store, worker_report
 from tests.support.single_controller import World, advance_time
@@ -47,10 +48,9 @@
     world = World(store)
     assert world.leadership.is_leader
 
-    async def read_snapshot(client: StateClient) -> Snapshot:
-        return Snapshot(
-            store.revision, [StoredRow(key, value, revision) for key, (value, revision) in store.rows.items()]
-        )
+    async def read_snapshot(client: StateClient, apply_page: Callable[[list[StoredRow]], None]) -> int:
+        apply_page([StoredRow(key, value, revision) for key, (value, revision) in store.rows.items()])
+        return store.revision
 
     monkeypatch.setattr(replica, "read_snapshot", read_snapshot)
     anyio.run(world.replica._load)
--- a/tests/test_state_reads.py
+++ b/tests/test_state_reads.py
@@ -18,6 +18,7 @@
     read_changes,
     read_snapshot,
 )
+from sloeswitch.wire import StoredRow
 from tests.conftest import SETTINGS
 
 
@@ -40,8 +41,14 @@
         Reply(200, b'{"rows":[{"k":"s1/a","v":1,"stamp":2}],"hasNext":true,"epoch":7}'),
         Reply(200, b'{"rows":[{"k":"s1/b","v":2,"stamp":8}],"hasNext":false,"epoch":9}'),
     )
-    snapshot = anyio.run(read_snapshot, client)
-    assert snapshot.revision == 7 and [row.key for row in snapshot.rows] == ["s1/a", "s1/b"]
+    keys_by_request: list[tuple[int, str]] = []
+
+    def record_page(rows: list[StoredRow]) -> None:
+        keys_by_request.extend((len(client.paths), row.key) for row in rows)
+
+    revision = anyio.run(read_snapshot, client, record_page)
+    # Each page is handed over before the next one is requested, so that the rows of one page are held at a time.
+    assert revision == 7 and keys_by_request == [(1, "s1/a"), (2, "s1/b")]
     assert client.paths == ["/kv?starts=s1/&page=1000", "/kv?starts=s1/&page=1000&after=s1/a"]
 
 
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sloeswitch.core import keys
+from sloeswitch.core.cancellation_log import Cancellation
 from sloeswitch.core.records import JobState, Progress
 from sloeswitch.core.row_codec import encode_progress
 from sloeswitch.settings import parse
@@ -70,3 +71,35 @@
     assert store.tables.unallocated_quota(red)[0] == 0.0
     store.member("c0", 3, recovered_view=2)
     assert store.tables.unallocated_quota(red)[0] == 20.0
+
+
+def test_a_cancellation_reported_while_a_snapshot_is_read_is_not_lost(store: Store) -> None:
+    """Guards against a job that goes on although it is cancelled, because its page was read before the cancellation."""
+    dependent = "wk-000002"
+    store.job(spec())
+    store.job(spec(dependent, awaits=[JOB]))
+    snapshot = store.read_again()
+    store.tables.apply_peer_cancellation(Cancellation(JOB, 99))
+    store.tables.replace_by_snapshot(snapshot)
+    assert store.tables.jobs[JOB].is_cancelled and store.tables.jobs[dependent].is_cancelled
+    assert JOB in store.tables.peer_cancellations
+
+
+def test_a_reported_cancellation_that_a_snapshot_shows_is_settled(store: Store) -> None:
+    store.job(spec())
+    store.tables.apply_peer_cancellation(Cancellation(JOB, 99))
+    store.job(spec(), JobState.CANCELLED)
+    store.tables.peer_cancellations[JOB] = 99  # The replica has not read the row before the snapshot.
+    store.tables.replace_by_snapshot(store.read_again())
+    assert store.tables.jobs[JOB].is_cancelled and not store.tables.peer_cancellations
+
+
+def test_a_snapshot_replaces_all_rows_and_keeps_the_cancellation_log(store: Store) -> None:
+    store.job(spec())
+    cancellations = store.tables.cancellations
+    snapshot = store.read_again()
+    store.job(spec("wk-000002"))
+    store.tables.replace_by_snapshot(snapshot)
+    assert list(store.tables.jobs) == [JOB] and store.tables.cancellations is cancellations
+    # The graph of the dependencies belongs to the replaced rows.
+    assert store.tables.graph.jobs is store.tables.jobs
