Health: a job avoids a machine on which it failed for two worker leases, not for ever

Cause: the machine was excluded for the job until the job counted as faulty, which takes failures on three machines. One failure quarantines no machine, and the autoscaler counts its room as supply, so no other was rented.

Change: the exclusion ends two worker leases after each failure.

--- a/sloeswitch/actors/gang_preemption.py
+++ b/sloeswitch/actors/gang_preemption.py
@@ -51,7 +51,7 @@
             fitting = [
                 (capacity, self.registry.machines[capacity.machine].attempts.values())
                 for capacity in placement.eligible(
-                    job.spec.id, list(capacities.values()), self.reservations, self.health
+                    job.spec.id, list(capacities.values()), self.reservations, self.health, now
                 )
                 if placement.satisfies_constraints(job.spec, capacity)
                 and fits_type(job.spec, self.tables.machine_types[capacity.type])
--- a/sloeswitch/actors/shard_state.py
+++ b/sloeswitch/actors/shard_state.py
@@ -12,6 +12,11 @@
 from sloeswitch.core.health import Health
 from sloeswitch.core.machine_registry import MachineRegistry
 
+# The longest delay between two retries of a faulty job, in worker leases.
+MAX_FAULTY_JOB_BACKOFF_WORKER_LEASES = 20
+# How long a job avoids a machine on which it failed, in worker leases. Another machine can come up meanwhile.
+MACHINE_AVOIDANCE_WORKER_LEASES = 2
+
 
 @dataclass(frozen=True)
 class ShardState:
@@ -42,7 +47,11 @@
         return ShardState(
             context=context,
             registry=registry,
-            health=Health(settings.report_s, 20 * settings.lease_s),
+            health=Health(
+                settings.report_s,
+                MAX_FAULTY_JOB_BACKOFF_WORKER_LEASES * settings.lease_s,
+                MACHINE_AVOIDANCE_WORKER_LEASES * settings.lease_s,
+            ),
             quota=QuotaLedger(context, registry),
             queue=RunnableQueue(context, registry),
             task_updates=TaskUpdateOutbox(context, registry, jobs),
--- a/sloeswitch/actors/task_placement.py
+++ b/sloeswitch/actors/task_placement.py
@@ -135,7 +135,7 @@
         """Creates attempts for as many of the tasks as quota and capacities allow; returns whether it created any."""
         name = job.spec.id
         tasks = self._within_limits(job, tasks)
-        usable = placement.eligible(name, capacities, self.gang_preemption.reservations, self.health)
+        usable = placement.eligible(name, capacities, self.gang_preemption.reservations, self.health, now)
         if job.spec.gang:
             if tasks != job.all_tasks:
                 return False
--- a/sloeswitch/core/claim_planner.py
+++ b/sloeswitch/core/claim_planner.py
@@ -222,7 +222,9 @@
         count = self._max_tasks(job, unclaimed.bit_count() + idle.bit_count(), is_first=planned_before is None)
         if count == 0 or (spec.gang and count < spec.tasks):
             return
-        candidates = placement.eligible(spec.id, self.capacities, self.snapshot.reservations, self.snapshot.health)
+        candidates = placement.eligible(
+            spec.id, self.capacities, self.snapshot.reservations, self.snapshot.health, self.snapshot.now
+        )
         if spec.zone_bound and not self._choose_zone(job, candidates):
             return  # no task is claimed until a zone can be chosen
         placed = self._place(job, unclaimed, idle, count, candidates)
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -107,15 +107,16 @@
 
 
 def eligible(
-    job: str, capacities: list[FreeCapacity], reservations: Mapping[str, Reservation], health: Health
+    job: str, capacities: list[FreeCapacity], reservations: Mapping[str, Reservation], health: Health, now: float
 ) -> list[FreeCapacity]:
-    """The machines that a job may use: without those reserved for another job and those on which it failed.
+    """The machines that a job may use: without those reserved for another job and those that it avoids.
 
     Args:
         job: The job's id.
         capacities: The free capacity of machines.
         reservations: The reservations, by machine.
         health: The failures of jobs on machines.
+        now: The time, in seconds of the controller's monotonic clock.
     """
     if reservations:
         capacities = [
@@ -125,7 +126,7 @@
         ]
     if job not in health.jobs:
         return capacities
-    return [capacity for capacity in capacities if not health.has_failed_on(job, capacity.machine)]
+    return [capacity for capacity in capacities if not health.is_machine_avoided(job, capacity.machine, now)]
 
 
 def without_full(capacities: list[FreeCapacity], min_task_cores: float) -> list[FreeCapacity]:
