Health: retry a job that counts as faulty at least once a minute

Seen in a test only.

Cause: the pause of a job that counts as faulty doubles up to 20 worker leases, and goes on when its machines are sound.

Change: the pause is at most 60 s.

Result: test_a_faulty_job_is_retried_often_enough_once_its_machines_are_sound fails before (128 s) and passes now.

--- a/sloeswitch/actors/shard_state.py
+++ b/sloeswitch/actors/shard_state.py
@@ -12,8 +12,8 @@
 from sloeswitch.core.health import Health
 from sloeswitch.core.machine_registry import MachineRegistry
 
-# The longest delay between two retries of a faulty job, in worker leases.
-MAX_FAULTY_JOB_BACKOFF_WORKER_LEASES = 20
+# The longest delay between two retries of a faulty job, which may have failed because of its machines alone.
+MAX_FAULTY_JOB_BACKOFF_S = 60.0
 # How long a job avoids a machine on which it failed, in worker leases. Another machine can come up meanwhile.
 MACHINE_AVOIDANCE_WORKER_LEASES = 2
 
@@ -49,7 +49,7 @@
             registry=registry,
             health=Health(
                 settings.report_s,
-                MAX_FAULTY_JOB_BACKOFF_WORKER_LEASES * settings.lease_s,
+                MAX_FAULTY_JOB_BACKOFF_S,
                 MACHINE_AVOIDANCE_WORKER_LEASES * settings.lease_s,
             ),
             quota=QuotaLedger(context, registry),
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -105,3 +105,15 @@
     world.heartbeat(worker_report(5, 3, (task, attempt, "ended", "error")))
     started = [name for second in range(5) for name in report_and_place(world, 3 + second, "vm-2")]
     assert set(started) == {task}
+
+
+def test_a_faulty_job_is_retried_often_enough_once_its_machines_are_sound(store: Store) -> None:
+    """Guards against a job that failed on several faulty machines and then waits for minutes beside sound ones."""
+    health = World(store).machines.health
+    failed_at = 0.0
+    for _ in range(20):
+        for name in ("vm-1", "vm-2", "vm-3"):
+            health.record_failure("wk-1", name, failed_at)
+        assert health.is_job_faulty("wk-1")
+        assert health.jobs["wk-1"].retry_at - failed_at < MAX_WAIT_S
+        failed_at = health.jobs["wk-1"].retry_at
