Placement: find the tasks of a zone-bound job that a zone allows without visiting each task

Cause: pack_tasks visited each unclaimed task for each machine, and each step copied the set of all tasks, so the time grew with the square of the tasks, on the event loop and in each pass of the planner.

Change: the tasks allowed in a zone are one mask. The other set operations that copied the set for each task (lowest, pack, task_numbers, the set of placed tasks) take linear time now.

--- a/sloeswitch/core/claim_planner.py
+++ b/sloeswitch/core/claim_planner.py
@@ -277,7 +277,7 @@
         tasks = unclaimed if spec.zone_bound else taskset.lowest(unclaimed, max(0, count - idle.bit_count()))
         zone = self.claims.zones.get(spec.id)
         placements = placement.pack_tasks(job, tasks | taskset.lowest(idle, count), capacities, zone, count)
-        placed = sum(1 << each.task_index for each in placements)
+        placed = taskset.from_numbers(each.task_index for each in placements)
         if not placements and len(capacities) == len(self.capacities) and not spec.zone_bound:
             self.unplaceable_shapes.add(shape)
         self.planned_tasks[spec.id] = placed
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -15,6 +15,7 @@
 from sloeswitch.core.health import Health
 from sloeswitch.core.quota import ROUNDING_TOLERANCE, fits_type
 from sloeswitch.core.records import Job
+from sloeswitch.core.taskset import TaskSet
 from sloeswitch.wire import MAX_TASKS, JobSpec, MachineType
 
 
@@ -134,16 +135,20 @@
     return [capacity for capacity in capacities if capacity.cores + ROUNDING_TOLERANCE >= min_task_cores]
 
 
-def satisfies_zone_binding(spec: JobSpec, task_index: int, zone: str, job_zone: str | None) -> bool:
-    """Whether a task of a zone-bound job may run in a zone, given the zone stored for the job.
+def tasks_allowed_in_zone(spec: JobSpec, zone: str, job_zone: str | None) -> TaskSet:
+    """The tasks of a zone-bound job that may run in a zone, given the zone stored for the job.
 
     While no zone is stored, its tasks may not run anywhere. The tasks of a `one_zone` job run in the stored zone. Of a
     `spread` job, the lower half of the task indexes, rounded up, runs in the stored zone and the others run in any
     other zone. The split by index saves controllers from counting each other's tasks.
     """
+    if job_zone is None:
+        return 0
+    all_tasks = taskset.full(spec.tasks)
     if spec.one_zone:
-        return zone == job_zone
-    return job_zone is not None and (zone == job_zone) == (task_index < (spec.tasks + 1) // 2)
+        return all_tasks if zone == job_zone else 0
+    lower_half = taskset.full((spec.tasks + 1) // 2)
+    return lower_half if zone == job_zone else all_tasks & ~lower_half
 
 
 def rank_capacities(spec: JobSpec, capacities: list[FreeCapacity]) -> list[FreeCapacity]:
@@ -204,11 +209,7 @@
         count = capacity.max_tasks(spec)
         allowed = tasks
         if spec.zone_bound:
-            allowed = sum(
-                1 << index
-                for index in taskset.task_numbers(tasks)
-                if satisfies_zone_binding(spec, index, capacity.zone, job_zone)
-            )
+            allowed &= tasks_allowed_in_zone(spec, capacity.zone, job_zone)
         chosen = taskset.lowest(allowed, min(count, max_count - len(placements)))
         if chosen:
             capacity.take(spec, chosen.bit_count())
--- a/sloeswitch/core/taskset.py
+++ b/sloeswitch/core/taskset.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from base64 import b64decode, b64encode
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import TypeAlias
 
 # A set of task numbers: bit n is set when task n is in it. Unions and differences are `|` and `& ~`.
@@ -23,14 +23,14 @@
 def pack(tasks: TaskSet) -> list[int]:
     """Packs a set in the form that every layout reads: [start, length, start, length, ...]."""
     runs: list[int] = []
-    position = 0
-    while tasks:
-        skip = (tasks & -tasks).bit_length() - 1
-        tasks >>= skip
-        length = (~tasks & (tasks + 1)).bit_length() - 1
-        runs += [position + skip, length]
-        tasks >>= length
-        position += skip + length
+    bits = _to_text(tasks)
+    start = bits.find("1")
+    while start >= 0:
+        end = bits.find("0", start)
+        if end < 0:
+            end = len(bits)
+        runs += [start, end - start]
+        start = bits.find("1", end)
     return runs
 
 
@@ -82,21 +82,44 @@
     return (1 << count) - 1
 
 
+def _to_text(tasks: TaskSet) -> str:
+    """Returns the bits of a set as text, the lowest first, in which they are searched in linear time.
+
+    Shifting bits out of the set, or clearing one after the other, would copy the whole set for each of them.
+    """
+    return bin(tasks)[:1:-1]
+
+
+def from_numbers(numbers: Iterable[int]) -> TaskSet:
+    """Returns the set of some task numbers, in any order."""
+    bits = bytearray()
+    for number in numbers:
+        index, bit = divmod(number, 8)
+        if index >= len(bits):
+            bits.extend(bytes(index + 1 - len(bits)))
+        bits[index] |= 1 << bit
+    return int.from_bytes(bits, "little")
+
+
 def task_numbers(tasks: TaskSet) -> Iterator[int]:
     """Yields the task numbers in a set, lowest first."""
-    while tasks:
-        lowest_bit = tasks & -tasks
-        yield lowest_bit.bit_length() - 1
-        tasks ^= lowest_bit
+    bits = _to_text(tasks)
+    number = bits.find("1")
+    while number >= 0:
+        yield number
+        number = bits.find("1", number + 1)
 
 
 def lowest(tasks: TaskSet, count: int) -> TaskSet:
     """Returns the subset of the `count` lowest task numbers, or the whole set if it has no more."""
     if tasks.bit_count() <= count:
         return tasks
-    subset = 0
-    for _ in range(count):
-        lowest_bit = tasks & -tasks
-        subset |= lowest_bit
-        tasks ^= lowest_bit
-    return subset
+    # Binary search for the least length at which the set, cut off there, has `count` numbers.
+    too_short, enough = -1, tasks.bit_length()
+    while enough - too_short > 1:
+        length = (too_short + enough) // 2
+        if (tasks & full(length)).bit_count() >= count:
+            enough = length
+        else:
+            too_short = length
+    return tasks & full(enough)
--- a/tests/test_zone_binding.py
+++ b/tests/test_zone_binding.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
 
 from sloeswitch.actors.job_messages import ClaimRequest
-from sloeswitch.core import keys, placement
+from sloeswitch.core import keys, placement, taskset
 from sloeswitch.core.machine import Machine
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.uncommitted_updates import TaskUpdates
+from sloeswitch.wire import MAX_TASKS
 from tests.conftest import Store, spec
 from tests.support.single_controller import JOB, World, advance_time, world_with_scale_in
 
@@ -121,3 +123,42 @@
     assert placement.pack_tasks(job, 0b1110, capacities, "b") == []
     world.store.job(spec("wk-000002", spread=True))
     assert placement.pack_tasks(world.store.tables.jobs["wk-000002"], 0b1111, capacities) == []
+
+
+@pytest.mark.parametrize("tasks", [1, 2, 5, 8])
+def test_the_tasks_allowed_in_a_zone_follow_from_the_zone_of_the_job(tasks: int) -> None:
+    everything, lower_half = set(range(tasks)), set(range((tasks + 1) // 2))
+    one_zone, spread = spec(visits=tasks, together=True), spec(visits=tasks, spread=True)
+    for job, zone, job_zone, allowed in (
+        (one_zone, "a", "a", everything),
+        (one_zone, "b", "a", set()),
+        (one_zone, "a", None, set()),
+        (spread, "a", "a", lower_half),
+        (spread, "b", "a", everything - lower_half),
+        (spread, "a", None, set()),
+    ):
+        assert set(taskset.task_numbers(placement.tasks_allowed_in_zone(job, zone, job_zone))) == allowed
+
+
+@pytest.mark.parametrize("bound", [{"together": True}, {"spread": True}])
+def test_only_the_tasks_that_are_placed_are_enumerated(
+    store: Store, bound: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against controllers that stand still for seconds: each task of a huge job was visited for each machine."""
+    store.job(spec(visits=MAX_TASKS, memoryGb=0.0, **bound))
+    capacities = [
+        placement.FreeCapacity(f"vm-{zone}", "small", zone, True, cores=32.0, gpus=0.0, memory_gb=64.0)
+        for zone in ("a", "b")
+    ]
+    enumerated: list[int] = []
+    task_numbers = taskset.task_numbers
+
+    def record_numbers(tasks: int) -> Iterator[int]:
+        for number in task_numbers(tasks):
+            enumerated.append(number)
+            yield number
+
+    monkeypatch.setattr(taskset, "task_numbers", record_numbers)
+    job = store.tables.jobs[JOB]
+    placements = placement.pack_tasks(job, job.all_tasks, capacities, zone="a")
+    assert placements and sorted(enumerated) == sorted(each.task_index for each in placements)
