Membership: renew the lease also while all rows are read again

Change: a lease that is held is renewed meanwhile; joining still waits for the rows.

Result: test_a_member_that_reads_all_rows_again_renews_its_lease_meanwhile fails before and passes now.

--- a/sloeswitch/actors/membership.py
+++ b/sloeswitch/actors/membership.py
@@ -74,14 +74,21 @@
     # -- the lease
 
     async def keep_lease(self) -> None:
-        """Renews the lease and does a linearizable read, RENEWALS_PER_LEASE times per lease, until cancelled."""
+        """Renews the lease and does a linearizable read, RENEWALS_PER_LEASE times per lease, until cancelled.
+
+        The lease is renewed also while all rows are read again, which may take longer than the lease. Joining waits for
+        them, because the member row that it replaces has to be known.
+        """
         period_s = self.settings.controller_lease_s / RENEWALS_PER_LEASE
         while True:
-            while not self.replica.loaded:
+            while not self.replica.loaded and not self.leadership.incarnation:
                 await self.replica.wait_for_change(period_s)
             started = self.client.now()
             with contextlib.suppress(HttpTransportError, StaleReplicaError):
-                await self._renew_or_join()
+                if self.replica.loaded:
+                    await self._renew_or_join()
+                else:
+                    await self._renew_lease()
                 await self.replica.read_linearizable(self.client.timeout_s)
                 if self.leadership.incarnation and not self._row_is_current(self.leadership.incarnation):
                     await self._write_member()
--- a/tests/test_snapshot_rate_limit.py
+++ b/tests/test_snapshot_rate_limit.py
@@ -17,8 +17,9 @@
 from sloeswitch.rate_budget import RequestPriority
 from sloeswitch.replica import Replica
 from sloeswitch.settings import parse
-from tests.conftest import SETTINGS
-from tests.support.rate_limited_state import RateLimitedState, connect
+from tests.conftest import SETTINGS, Store
+from tests.support.rate_limited_state import ANSWER_S, RateLimitedState, connect
+from tests.support.single_controller import World
 from tests.support.virtual_time import run_in_virtual_time
 
 Replicas = list[Replica]
@@ -115,6 +116,33 @@
     return service, renewed_at
 
 
+async def reload_while_renewing(store: Store) -> list[float]:
+    """Lets a member of the view read all rows again; returns the times of its renewals until that is over."""
+    service = RateLimitedState(RATE_RPS, finished_jobs(), ROWS_PER_PAGE)
+    world = World(store)
+    client = world.membership.client = connect(service, LIMITED)
+    replica = world.membership.replica = Replica(client, store.tables, anyio.current_time)
+    world.leadership.lease_renewed_at = anyio.current_time()
+    renewed_at = [world.leadership.lease_renewed_at]
+    async with anyio.create_task_group() as group:
+        replica.start(group)
+        group.start_soon(world.membership.keep_lease)
+        while not replica.loaded:
+            await anyio.sleep(ANSWER_S)
+            if world.leadership.lease_renewed_at != renewed_at[-1]:
+                renewed_at.append(world.leadership.lease_renewed_at)
+        group.cancel_scope.cancel()
+    return [*renewed_at, anyio.current_time()]
+
+
+def test_a_member_that_reads_all_rows_again_renews_its_lease_meanwhile(store: Store) -> None:
+    """Guards against a lease that ends because a snapshot of many pages takes longer than the lease."""
+    random.seed(1)
+    times = run_in_virtual_time(reload_while_renewing, store)
+    assert times[-1] - times[0] > LIMITED.controller_lease_s, "the snapshot is too short for this test"
+    assert max(later - earlier for earlier, later in pairwise(times)) < LIMITED.controller_lease_s
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize("restarted", [1, 2])
 def test_a_busy_controller_keeps_its_lease_while_others_load_their_snapshots(restarted: int, seed: int) -> None:
