Remove unused names; errors of the cloud and the state service say "unexpected status"

row_codec.has_spec, ControllerProcess.knows and OTHER of test_gang_preemption had no use, and NO_RESOURCES stood twice. No behaviour changes.

--- a/sloeswitch/cloud.py
+++ b/sloeswitch/cloud.py
@@ -34,7 +34,7 @@
     """The cloud answered with an unexpected status."""
 
     def __init__(self, status: int) -> None:
-        super().__init__(f"status {status}")
+        super().__init__(f"unexpected status {status}")
         self.status = status
 
 
--- a/sloeswitch/core/row_codec.py
+++ b/sloeswitch/core/row_codec.py
@@ -78,11 +78,6 @@
     return {"s": status, "n": spec.tasks, "t": finished_ms}
 
 
-def has_spec(value: StoredRow) -> bool:
-    """Whether a job's row holds its spec or refers to chunks of it, which means that the job is not finished."""
-    return "spec" in value or "parts" in value
-
-
 @dataclass(slots=True)
 class JobRow:
     """A job's row, with the fields decoded that every caller needs."""
--- a/sloeswitch/core/tables.py
+++ b/sloeswitch/core/tables.py
@@ -12,7 +12,7 @@
 from sloeswitch.core import keys
 from sloeswitch.core.cancellation_log import Cancellation
 from sloeswitch.core.keys import RowKind
-from sloeswitch.core.quota import ResourceAmount
+from sloeswitch.core.quota import NO_RESOURCES, ResourceAmount
 from sloeswitch.core.records import Job, JobState
 from sloeswitch.core.row_application import DECODE_ERRORS, ROW_FUNCTIONS
 from sloeswitch.core.stored_state import StoredState
@@ -24,8 +24,6 @@
 # A module constant, because looking up an enum member is slow and `apply` runs for every changed row.
 _JOB = RowKind.JOB
 
-NO_RESOURCES = ResourceAmount(0.0, 0.0)
-
 
 class Tables(StoredState):
     """The decoded rows, with the methods that update them and the queries that scheduling uses.
--- a/sloeswitch/state_reads.py
+++ b/sloeswitch/state_reads.py
@@ -38,7 +38,7 @@
     """A read was answered with a status other than 200."""
 
     def __init__(self, status: int) -> None:
-        super().__init__(f"status {status}")
+        super().__init__(f"unexpected status {status}")
         self.status = status
 
 
--- a/tests/test_cancellations_in_outage.py
+++ b/tests/test_cancellations_in_outage.py
@@ -171,7 +171,6 @@
             log,
         )
         self.leadership.mesh = self.mesh
-        self.knows: set[str] = set()
 
     def join(self) -> None:
         """Joins a view of all three members, which never changes here."""
--- a/tests/test_gang_preemption.py
+++ b/tests/test_gang_preemption.py
@@ -20,7 +20,7 @@
 
 LARGE = MachineType("large", 32.0, 0.0, 64.0, 50.0, 0.5, 1.3, 0.4, 25.0, ["a", "b"])
 GANG: dict[str, Any] = {"shape": "group", "visits": 1, "cores": 30.0, "memoryGb": 51.0, "together": True}
-GANG_JOB, SMALL_JOB, OTHER = "wk-000001", "wk-000002", "wk-000003"
+GANG_JOB, SMALL_JOB = "wk-000001", "wk-000002"
 
 
 @pytest.fixture
