Test: crashes and returns of controllers at random times beside a rate-limited state service

Ten simulated minutes a seed, three controllers that crash alone or all at once and are back after 0.2 to 7 s.

--- a/tests/test_snapshot_rate_limit.py
+++ b/tests/test_snapshot_rate_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from http import HTTPStatus
 from itertools import pairwise
 
@@ -17,8 +18,10 @@
 from sloeswitch.rate_budget import RequestPriority
 from sloeswitch.replica import Replica
 from sloeswitch.settings import parse
+from sloeswitch.state_client import StateClient
 from tests.conftest import SETTINGS, Store
 from tests.support.rate_limited_state import ANSWER_S, RateLimitedState, connect
+from tests.support.seeds import run_seeds
 from tests.support.single_controller import World
 from tests.support.virtual_time import run_in_virtual_time
 
@@ -150,3 +153,95 @@
     random.seed(seed)
     _service, renewed_at = run_in_virtual_time(renew_beside_restarts, restarted)
     assert max(later - earlier for earlier, later in pairwise(renewed_at)) < LIMITED.controller_lease_s
+
+
+class RestartingCell:
+    """Three controllers that crash and come back at random times, alone or together, while those that are up are busy.
+
+    Attributes:
+        loaded: The members that have read all rows since they started; they share the request rate.
+        faults: What went wrong.
+    """
+
+    MEMBERS = 3
+    DURATION_S = 600.0
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.service = RateLimitedState(RATE_RPS, finished_jobs(), ROWS_PER_PAGE)
+        self.loaded: set[int] = set()
+        self.faults: list[str] = []
+        # All members that are up crash at these times.
+        self.common_crashes = sorted(self.random.uniform(0.0, self.DURATION_S) for _ in range(3))
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as group:
+            for member in range(self.MEMBERS):
+                group.start_soon(self._crash_and_return, member)
+            await anyio.sleep(self.DURATION_S)
+            group.cancel_scope.cancel()
+
+    async def _crash_and_return(self, member: int) -> None:
+        while True:
+            now = anyio.current_time()
+            crashes_at = now + self.random.uniform(1.0, 150.0)
+            crashes_at = min([crashes_at, *(at for at in self.common_crashes if at > now)])
+            with anyio.move_on_after(crashes_at - now):
+                await self._serve(member)
+            self.loaded.discard(member)
+            await anyio.sleep(self.random.choice([0.2, 6.0, 6.0, 6.0 + self.random.random()]))
+
+    async def _serve(self, member: int) -> None:
+        """Reads all rows, then renews a lease and uses the member's share of the rate for other requests."""
+        client = connect(self.service, LIMITED)
+        client.controller_count = lambda: len(self.loaded) or self.MEMBERS
+        replica = Replica(client, Tables(), anyio.current_time)
+        async with anyio.create_task_group() as group:
+            replica.start(group)
+            started_at = anyio.current_time()
+            while not replica.loaded:
+                await anyio.sleep(ANSWER_S)
+                if anyio.current_time() - started_at > FORGOTTEN_AFTER_S:
+                    self.faults.append(f"member {member} started at {started_at:.1f} s and has not loaded a snapshot")
+                    return
+            self.loaded.add(member)
+            group.start_soon(self._read_forever, client)
+            await self._renew_forever(member, client)
+
+    async def _read_forever(self, client: StateClient) -> None:
+        while True:
+            await client.call("GET", "/kv?starts=none", None, RequestPriority.CLAIM)
+
+    async def _renew_forever(self, member: int, client: StateClient) -> None:
+        renewed_at = anyio.current_time()
+        while True:
+            sent_at = anyio.current_time()
+            reply = await client.call("POST", "/grants/1/renew", b"{}", RequestPriority.LEASE)
+            if reply.status == HTTPStatus.OK:
+                renewed_at = sent_at
+            elif anyio.current_time() - renewed_at >= LIMITED.controller_lease_s:
+                self.faults.append(f"member {member} lost its lease at {anyio.current_time():.1f} s")
+                return
+            await anyio.sleep(LIMITED.controller_lease_s / RENEWALS_PER_LEASE)
+
+
+def check_restarts(seed: int) -> None:
+    random.seed(seed)
+
+    async def run() -> list[str]:
+        cell = RestartingCell(seed)
+        await cell.run()
+        return cell.faults
+
+    faults = run_in_virtual_time(run)
+    assert not faults, faults
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_restarts_at_random_times_neither_prevent_snapshots_nor_end_leases(seed: int) -> None:
+    """Guards against both faults above in orders of crashes that no test names."""
+    check_restarts(seed)
+
+
+if __name__ == "__main__":
+    sys.exit(run_seeds(check_restarts, *map(int, sys.argv[1:3])))
