--- a/tests/test_snapshot_rate_limit.py
+++ b/tests/test_snapshot_rate_limit.py
@@ -81,6 +81,8 @@
     assert all(replica.loaded for replica in replicas), service.statuses
     assert all(len(replica.tables.finished_jobs) == PAGES * ROWS_PER_PAGE for replica in replicas)
     assert service.pages_answered == controllers * PAGES
+    # Each controller stays within its share of the rate, so that none takes the requests of another.
+    assert not service.statuses[HTTPStatus.TOO_MANY_REQUESTS]
 
 
 def test_an_outage_while_a_snapshot_is_read_loses_no_page() -> None:
