--- a/sloeswitch/state_reads.py
+++ b/sloeswitch/state_reads.py
@@ -10,9 +10,12 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+import anyio
+
 from sloeswitch import wire
+from sloeswitch.backoff import ExponentialBackoff
 from sloeswitch.core.keys import KEY_PREFIX
-from sloeswitch.http_client import Reply
+from sloeswitch.http_client import HttpTransportError, Reply
 from sloeswitch.rate_budget import RequestPriority
 from sloeswitch.state_client import StateClient
 
@@ -20,6 +23,11 @@
 
 # The maximum number of rows in one answer of the state service (PROTOCOL-sloeswitch.md).
 SNAPSHOT_PAGE_ROWS = 1000
+# The bounds of the pauses before a page of a snapshot is requested again.
+MIN_PAGE_RETRY_PAUSE_S = 0.1
+MAX_PAGE_RETRY_PAUSE_S = 2.0
+# Answers after which the same request may succeed later (PROTOCOL-sloeswitch.md, "Limits and errors").
+TRANSIENT_STATUSES = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
 
 
 class StateReadError(Exception):
@@ -61,23 +69,43 @@
 
 
 async def read_snapshot(client: StateClient) -> Snapshot:
-    """Reads all rows, page by page.
+    """Reads all rows, page by page; a page that is refused or gets no answer is read again.
+
+    The pages that were read before stay valid however long that takes, because all changes since the first page follow
+    through the change feed.
 
     Raises:
-        http_client.HttpTransportError: A request had no answer.
-        StateReadError: An answer was unusable.
+        StateReadError: An answer was unusable, and the same request would get the same answer again.
     """
-    page = await _read_page(client, after_key="")
+    page = await _read_page_with_retries(client, after_key="")
     snapshot = Snapshot(page.revision, list(page.rows))
     while page.more and page.rows:
-        page = await _read_page(client, after_key=page.rows[-1].key)
+        page = await _read_page_with_retries(client, after_key=page.rows[-1].key)
         snapshot.rows.extend(page.rows)
     return snapshot
 
 
+async def _read_page_with_retries(client: StateClient, after_key: str) -> wire.StoredRowPage:
+    backoff = ExponentialBackoff(MIN_PAGE_RETRY_PAUSE_S, MAX_PAGE_RETRY_PAUSE_S)
+    while True:
+        try:
+            return await _read_page(client, after_key)
+        except (HttpTransportError, UnexpectedStatusError) as error:
+            if isinstance(error, UnexpectedStatusError) and error.status not in TRANSIENT_STATUSES:
+                raise
+            pause_s = backoff.next_pause_s()
+            log.info("snapshot page not read, retrying: after=%s error=%s pause_s=%.2f", after_key, error, pause_s)
+        await anyio.sleep(pause_s)
+
+
 async def _read_page(client: StateClient, after_key: str) -> wire.StoredRowPage:
+    """Reads one page, with the lowest priority.
+
+    A snapshot takes one request for every thousand rows. With a higher priority it would exceed the controller's share
+    of the request rate, and the state service would refuse the requests of all controllers, lease renewals included.
+    """
     path = f"/kv?starts={KEY_PREFIX}&page={SNAPSHOT_PAGE_ROWS}" + (f"&after={after_key}" if after_key else "")
-    return _decode(await client.call("GET", path, None, RequestPriority.LEASE), wire.StoredRowPage)
+    return _decode(await client.call("GET", path, None, RequestPriority.PROGRESS), wire.StoredRowPage)
 
 
 async def read_changes(client: StateClient, after_revision: int, hold_s: float) -> wire.ChangeFeed:
--- /dev/null
+++ b/tests/test_snapshot_rate_limit.py
@@ -0,0 +1,83 @@
+"""Controllers that read their snapshots from a state service with a rate limit, after a crash."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup
+
+from sloeswitch import wire
+from sloeswitch.core import keys
+from sloeswitch.core.tables import Tables
+from sloeswitch.replica import Replica
+from sloeswitch.settings import parse
+from tests.conftest import SETTINGS
+from tests.support.rate_limited_state import RateLimitedState, connect
+from tests.support.virtual_time import run_in_virtual_time
+
+Replicas = list[Replica]
+RATE_RPS = 60.0
+LIMITED = parse(SETTINGS.replace("rps = 100.0", f"rps = {RATE_RPS}").replace("count = 2", "count = 3"))
+# The pages of two days of finished jobs.
+PAGES = 83
+ROWS_PER_PAGE = 4
+# A job about which no question is answered for this long counts as forgotten.
+FORGOTTEN_AFTER_S = 75.0
+
+
+def finished_jobs() -> list[wire.StoredRow]:
+    return [
+        wire.StoredRow(keys.job_key(f"wk-{number:06d}"), {"s": "done", "n": 36, "t": number}, number)
+        for number in range(1, PAGES * ROWS_PER_PAGE + 1)
+    ]
+
+
+def start_replicas(group: TaskGroup, service: RateLimitedState, count: int) -> list[Replica]:
+    replicas = [Replica(connect(service, LIMITED), Tables(), anyio.current_time) for _ in range(count)]
+    for replica in replicas:
+        replica.start(group)
+    return replicas
+
+
+async def load_replicas(controllers: int, apart_s: float, outage_s: float = 0.0) -> tuple[RateLimitedState, Replicas]:
+    """Starts controllers one after the other, and returns their replicas once the time to be forgotten is over.
+
+    With `outage_s` the state service is out for that long, one second after the start; the time counts from its end.
+    """
+    service = RateLimitedState(RATE_RPS, finished_jobs(), ROWS_PER_PAGE)
+    replicas: Replicas = []
+    async with anyio.create_task_group() as group:
+        for _ in range(controllers):
+            replicas += start_replicas(group, service, 1)
+            await anyio.sleep(apart_s)
+        if outage_s:
+            await anyio.sleep(1.0)
+            service.outage_until = anyio.current_time() + outage_s
+            await anyio.sleep(outage_s)
+        await anyio.sleep(FORGOTTEN_AFTER_S)
+        group.cancel_scope.cancel()
+    return service, replicas
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("apart_s", [0.0, 0.2, 0.3, 1.0])
+@pytest.mark.parametrize("controllers", [1, 2, 3])
+def test_controllers_that_restart_together_all_load_a_snapshot_of_many_pages(
+    controllers: int, apart_s: float, seed: int
+) -> None:
+    """Guards against snapshots that are never complete: each refused page made a controller begin at the first page."""
+    random.seed(seed)
+    service, replicas = run_in_virtual_time(load_replicas, controllers, apart_s)
+    assert all(replica.loaded for replica in replicas), service.statuses
+    assert all(len(replica.tables.finished_jobs) == PAGES * ROWS_PER_PAGE for replica in replicas)
+    assert service.pages_answered == controllers * PAGES
+
+
+def test_an_outage_while_a_snapshot_is_read_loses_no_page() -> None:
+    """Guards against a snapshot that begins at the first page again after each failed request."""
+    random.seed(1)
+    service, replicas = run_in_virtual_time(load_replicas, 3, 0.0, 10.0)
+    assert service.statuses[503] and all(replica.loaded for replica in replicas)
+    assert service.pages_answered == 3 * PAGES
