--- a/review/4/case.py
+++ b/review/4/case.py
@@ -25,7 +25,7 @@
 
 
 async def case(run: lab.Lab) -> int:
-    """Runs the small jobs to their end, lets the team be idle, and submits one task as large as its limit of 30 CPUs."""
+    """Runs the small jobs to their end, then submits one task of the idle team, as large as its limit of 30 CPUs."""
     await run.submit(BASE, 120.0)
     await run.wait_for_running(BASE["id"], 4)
     jobs = [small_job(index) for index in range(BURST_JOBS if run.trouble else USUAL_JOBS)]
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -167,7 +167,8 @@
             try:
                 answer = await connection.request("POST", "/agent/beat", self.report(), 4.0)
                 pause_s = self._apply_answer(answer, sent, shift)
-            except NoAnswerError:
+            except NoAnswerError as error:
+                self.world.record(f"no answer to a report: host={self.name} node={self.node} error={error}")
                 self._next_node()
             await asyncio.sleep(min(pause_s, 0.5))
             if pause_s > 0.5:
--- a/review/standins2/httpkit.py
+++ b/review/standins2/httpkit.py
@@ -13,6 +13,13 @@
 from typing import Any
 
 HOST = "127.0.0.1"
+# The users' limit on the body of a request, and on a line of a response to workers or users.
+MAX_BYTES = 64 * 1024
+
+
+def encode(body: Any) -> bytes:
+    """Encodes a body without spaces."""
+    return json.dumps(body, separators=(",", ":")).encode()
 
 
 class NoAnswerError(Exception):
@@ -84,7 +91,7 @@
                 first, headers = await _read_head(reader)
                 method, path, _version = first.split(" ", 2)
                 answer = await self.handler(method, path, await _read_body(reader, headers))
-                data = json.dumps(answer.body).encode()
+                data = encode(answer.body)
                 head = f"HTTP/1.1 {answer.status} -\r\nContent-Type: application/json\r\nContent-Length: {len(data)}"
                 writer.write(f"{head}\r\n\r\n".encode() + data)
                 await writer.drain()
@@ -107,7 +114,7 @@
         """Sends one request and returns the answer.
 
         Raises:
-            NoAnswerError: No complete answer within the time limit.
+            NoAnswerError: No complete answer within the time limit, a body over the limit, or a longer line.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -127,14 +134,19 @@
             self._streams = None
 
     async def _exchange(self, method: str, path: str, body: Any) -> Answer:
+        data = b"" if body is None else encode(body)
+        if len(data) > MAX_BYTES:
+            raise NoAnswerError("body over 64 KiB")
         if self._streams is None:
             self._streams = await asyncio.open_connection(self.host, self.port)
         reader, writer = self._streams
-        data = b"" if body is None else json.dumps(body).encode()
         head = f"{method} {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\nContent-Length: {len(data)}\r\n\r\n"
         writer.write(head.encode() + data)
         await writer.drain()
         first, headers = await _read_head(reader)
+        if int(headers.get("content-length", "0")) > MAX_BYTES:
+            self.close()
+            raise NoAnswerError("line over 64 KiB")
         answer = Answer(int(first.split(" ")[1]), await _read_body(reader, headers))
         if headers.get("connection", "").lower() == "close":
             self.close()
