--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,8 +14,8 @@
 BASE = lab.submission(1, shape="sweep", visits=5, cores=2.0, memoryGb=51.0, snapshotS=0, dueS=35.0)
 LARGE = lab.submission(2, crew="calidad", shape="sweep", cores=30.0, memoryGb=4.0, snapshotS=0)
 USUAL_JOBS, BURST_JOBS = 1, 8
-SETTLES_S = 8.0
-ENDS_S = 105.0
+SETTLES_S = 5.0
+ENDS_S = 113.0
 
 
 def small_job(index: int) -> dict[str, Any]:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,8 +9,8 @@
 import lab  # noqa: E402
 
 JOB = lab.submission(1, visits=2, dueS=60.0)
-RUN_S = 20.0
-ENDS_S = 105.0
+RUN_S = 15.0
+ENDS_S = 113.0
 
 
 async def case(run: lab.Lab) -> int:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,7 +11,7 @@
 
 USUAL_JOBS, BURST_JOBS = 1, 8
 RUN_S = 15.0
-ENDS_S = 105.0
+ENDS_S = 113.0
 
 
 def job(index: int) -> dict[str, Any]:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -13,7 +13,7 @@
 JOB = lab.submission(1, shape="sweep", visits=2, spread=True, cores=6.0, memoryGb=4.0, snapshotS=0)
 RUN_S = 20.0
 RUNS_FOR_S = 5.0
-ENDS_S = 105.0
+ENDS_S = 113.0
 
 
 async def case(run: lab.Lab) -> int:
