--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,15 +13,15 @@
 # One task on each of four machines, so that every controller has a machine with room when the last job comes.
 BASE = lab.submission(1, shape="sweep", visits=5, cores=2.0, memoryGb=51.0, snapshotS=0, dueS=35.0)
 LARGE = lab.submission(2, crew="calidad", shape="sweep", cores=30.0, memoryGb=4.0, snapshotS=0)
-USUAL_JOBS, BURST_JOBS = 1, 8
+USUAL_JOBS, BURST_JOBS = 1, 6
 SETTLES_S = 5.0
 ENDS_S = 113.0
 
 
 def small_job(index: int) -> dict[str, Any]:
-    """A job of the class that comes several times as often: three tasks of one CPU."""
+    """A job of the class that comes several times as often: two tasks of one CPU."""
     fields = {"cores": 1.0, "memoryGb": 1.0, "snapshotS": 0, "expectedS": 5.0, "kit": f"img-{10 + index}"}
-    return lab.submission(10 + index, roster="audit", crew="calidad", shape="sweep", visits=3, **fields)
+    return lab.submission(10 + index, roster="audit", crew="calidad", shape="sweep", visits=2, **fields)
 
 
 async def case(run: lab.Lab) -> int:
