--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,5 +1,6 @@
 """Jobs of a class come several times as often; a machine gets more small tasks than its reports can list."""
 
+import os
 import sys
 from pathlib import Path
 from typing import Any
@@ -9,6 +10,8 @@
 
 import lab  # noqa: E402
 
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 USUAL_JOBS, BURST_JOBS = 1, 8
 RUN_S = 15.0
 ENDS_S = 113.0
@@ -22,7 +25,7 @@
 
 async def case(run: lab.Lab) -> int:
     """Submits the jobs one after the other, and polls until all are done or until the end."""
-    jobs = [job(index) for index in range(BURST_JOBS if run.trouble else USUAL_JOBS)]
+    jobs = [job(index) for index in range(BURST_JOBS if TROUBLE else USUAL_JOBS)]
     for each in jobs:
         await run.submit(each, RUN_S)
     done = [await run.is_done_by(each["id"], ENDS_S) for each in jobs]
