--- a/review/standins2/lab.py
+++ b/review/standins2/lab.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import socket
 import sys
@@ -107,7 +106,6 @@
     """The processes and stand-ins of one case."""
 
     def __init__(self, folder: Path, capacity: Callable[[Kind], int], first_number: int) -> None:
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started_at = time.monotonic()
         self._file = (folder / "record.txt").open("w", encoding="utf-8")
         self._scratch = tempfile.TemporaryDirectory()
