Quota: return idle allocations while a job needs more than the unallocated part

A controller returned an idle part only while less than a tenth of the limit was unallocated; the first return ended that for the others, and no controller could then get enough for the task.

Evidence: in the record of the case the last change of the team's row is after=worker-0.1:10,worker-1.3:6,worker-2.2:10 with a limit of 30 and an idle team. Now a team has a blocked job if the limit covers it beside all claimed tasks and the unallocated part does not. Controllers then return all that they do not use, by the same conditional decreases, until the unallocated part covers the job.

--- a/sloeswitch/actors/claim_requester.py
+++ b/sloeswitch/actors/claim_requester.py
@@ -65,6 +65,7 @@
         request = ClaimRequest(
             task_counts=claims.task_counts, zones=claims.zones, zone_bound_tasks=claims.zone_bound_tasks
         )
+        self.quota.update_blocked_teams(self.queue.jobs, now)
         self.quota.request_allocations(request, claims.usable_quota, len(members), now)
         if request.task_counts or request.quota_increases or request.quota_decreases:
             self.claim_in_flight = True
--- a/sloeswitch/actors/quota_ledger.py
+++ b/sloeswitch/actors/quota_ledger.py
@@ -12,11 +12,12 @@
 from sloeswitch.actors.context import ControllerContext
 from sloeswitch.actors.job_messages import ClaimRequest
 from sloeswitch.actors.quota_log import log_overuse
-from sloeswitch.core import keys, quota
+from sloeswitch.core import blocked_quota, keys, quota
 from sloeswitch.core.machine_registry import MachineRegistry
 from sloeswitch.core.quota import ResourceAmount
 from sloeswitch.core.quota_allocation import QuotaAllocation
 from sloeswitch.core.quota_changes import QuotaDecrease
+from sloeswitch.core.records import Job
 from sloeswitch.rate_budget import RequestPriority
 from sloeswitch.settings import Team
 from sloeswitch.wire import JobSpec
@@ -35,6 +36,9 @@
         # By team: the decrease that is being stored, and the time since which the allocation is larger than needed.
         self.pending_decreases: dict[str, QuotaDecrease] = {}
         self.surplus_since: dict[str, float] = {}
+        # Teams with a job that is blocked by idle allocations, and when they were last determined.
+        self.blocked_teams: set[str] = set()
+        self.blocked_teams_at = float("-inf")
         # By team: the usage of handed-off tasks (see `MachineRegistry`).
         self.handed_off_usage: dict[str, quota.ResourceUsage] = {}
         # Teams whose usage exceeds the stored allocation; logged once each time that it begins to.
@@ -114,6 +118,17 @@
             max(0.0, usage.gpus + spec.gpus - gpus - quota.ROUNDING_TOLERANCE),
         )
 
+    def update_blocked_teams(self, queue: list[Job], now: float) -> None:
+        """Determines the teams with blocked jobs anew, once in a report interval.
+
+        Args:
+            queue: The runnable jobs.
+            now: The clock's time in seconds.
+        """
+        if now - self.blocked_teams_at >= self.settings.report_s:
+            self.blocked_teams = blocked_quota.blocked_teams(queue, self.tables, self.settings.teams)
+            self.blocked_teams_at = now
+
     def request_allocations(
         self, request: ClaimRequest, usable: Mapping[str, quota.ResourceUsage], controllers: int, now: float
     ) -> None:
@@ -134,7 +149,12 @@
                 break
             team = self.settings.teams[name]
             allocation = QuotaAllocation(
-                team, self.allocation(name), usage, self.tables.unallocated_quota(team), controllers
+                team,
+                self.allocation(name),
+                usage,
+                self.tables.unallocated_quota(team),
+                controllers,
+                has_blocked_job=name in self.blocked_teams,
             )
             if allocation.is_short:
                 self.surplus_since.pop(name, None)
--- a/sloeswitch/core/quota_allocation.py
+++ b/sloeswitch/core/quota_allocation.py
@@ -15,7 +15,7 @@
 # While a limit is not scarce, a controller requests its usage times this factor, and at least an equal share.
 SPARE_MARGIN = 1.2
 # A controller returns its surplus of a scarce limit only if it would keep less than this share of its allocation: a
-# smaller change is not worth a write.
+# smaller change is not worth a write, unless a job is blocked.
 MIN_SHRINK_RATIO = 0.97
 
 
@@ -25,7 +25,8 @@
 
     Each change costs a write. While much of the limit is unallocated, a controller therefore takes and keeps at least
     an equal share. When the limit is scarce, a controller keeps no more than it needs: other controllers wait for quota
-    that would otherwise be idle only to save a write.
+    that would otherwise be idle only to save a write. When a job is blocked by idle allocations, each controller
+    returns all that it does not use, because one task or one gang may need the parts of several controllers.
 
     Attributes:
         team: The team.
@@ -33,6 +34,7 @@
         usage: The usage that is possible on this controller's machines: running, claimed and unclaimed tasks.
         unallocated: The part of the limit that is allocated to no controller.
         controller_count: The number of controllers that share the limit.
+        has_blocked_job: Whether a job of the team is blocked by idle allocations (see `core.blocked_quota`).
     """
 
     team: Team
@@ -40,13 +42,15 @@
     usage: ResourceUsage
     unallocated: ResourceAmount
     controller_count: int
+    has_blocked_job: bool = False
 
     @property
     def is_scarce(self) -> bool:
-        """Whether only a small part of the limit is unallocated."""
+        """Whether only a small part of the limit is unallocated, or too little for a blocked job."""
         limit = team_limit(self.team)
         return (
-            self.unallocated.cores < SCARCE_FREE_SHARE * limit.cores
+            self.has_blocked_job
+            or self.unallocated.cores < SCARCE_FREE_SHARE * limit.cores
             or self.unallocated.gpus < SCARCE_FREE_SHARE * limit.gpus
         )
 
@@ -73,6 +77,8 @@
     def has_surplus(self) -> bool:
         """Whether a part of the allocation is idle that other controllers may need."""
         target = self.target
+        if self.has_blocked_job:
+            return not is_within(self.allocated, target)
         return self.is_scarce and (
             target.cores < MIN_SHRINK_RATIO * self.allocated.cores
             or target.gpus < MIN_SHRINK_RATIO * self.allocated.gpus
