Gangs: store one task's completion as that of all tasks

Completions were stored task by task, and a gang is claimed and placed only with all its tasks, which one with a completed task can never have.

PROTOCOL: when one task of a gang is done, all are. So one completion now ends the job, at once and not a worker lease later; the coordinator ends gangs of which an earlier version stored a part; and the adoption of a completed gang moves no quota of its tasks, which the former holder may use for others.

--- a/sloeswitch/core/commit_planner.py
+++ b/sloeswitch/core/commit_planner.py
@@ -217,7 +217,7 @@
         The quota of a done task is not moved. Its former holder may have used it for another task, and it moves with
         that task when a controller adopts it. Moved twice, it would leave running tasks without quota.
         """
-        running = adopted & ~self._snapshot.updates[job.spec.id].done
+        running = adopted & ~job.completed_with(self._snapshot.updates[job.spec.id].done)
         if running:
             self._quota.move_with_adoption(job, running)
 
@@ -279,7 +279,7 @@
         updates = self._snapshot.updates.get(job.spec.id)
         if updates is None or job.spec.id in self._grouped_jobs:
             return 0
-        return 0 if job.progress.done | updates.done == job.all_tasks else updates.adopted
+        return 0 if job.completed_with(job.progress.done | updates.done) == job.all_tasks else updates.adopted
 
     def _progress_after(self, job: Job, voids_claims: bool) -> Progress:
         """Returns the job's progress with its uncommitted updates, and without void claims if `voids_claims`."""
@@ -288,9 +288,10 @@
             for holder in self._tables.departed_claim_holders(job):
                 del progress.claims[holder]
         updates = self._snapshot.updates.get(job.spec.id)
+        # Also without updates: an earlier version stored the completion of some tasks of a gang only.
+        progress.done = job.completed_with(progress.done | (0 if updates is None else updates.done))
         if updates is None:
             return progress
-        progress.done |= updates.done & job.all_tasks
         adopted = updates.adopted & ~progress.done & job.all_tasks
         for holder in list(progress.claims):
             tasks = progress.claims[holder] & ~progress.done
--- a/sloeswitch/core/commit_schedule.py
+++ b/sloeswitch/core/commit_schedule.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from sloeswitch.core.records import JobState
 from sloeswitch.core.tables import Tables
 from sloeswitch.core.uncommitted_updates import JobUpdates, UncommittedUpdates
 
@@ -50,7 +51,7 @@
         claims_and_adoptions = [
             name for pair in itertools.zip_longest(requested, adopting) for name in pair if name is not None
         ]
-        return list(dict.fromkeys([*ending, *claims_and_adoptions, *others, *self._cancelled_jobs_to_finish()]))
+        return list(dict.fromkeys([*ending, *claims_and_adoptions, *others, *self._jobs_to_finish()]))
 
     def _due_updates(self) -> tuple[list[str], list[str]]:
         """Returns the jobs whose updates have waited long enough: those that end with the updates, and the others."""
@@ -60,7 +61,7 @@
             if self.now_s - job_updates.first_arrival_s < self._delay_s(name, job_updates):
                 continue
             job = self.tables.jobs.get(name)
-            ends = job is not None and job.all_tasks == job.progress.done | job_updates.done
+            ends = job is not None and job.all_tasks == job.completed_with(job.progress.done | job_updates.done)
             (ending if ends else others).append(name)
         ending.sort(key=lambda name: not self._has_successors(name))
         return ending, others
@@ -77,10 +78,11 @@
         job = self.tables.jobs.get(name)
         return job is not None and job_updates.ends_claims(job, self.incarnation_id)
 
-    def _cancelled_jobs_to_finish(self) -> list[str]:
-        """Returns the cancelled jobs without a task that may still run, if this controller is the coordinator.
+    def _jobs_to_finish(self) -> list[str]:
+        """Returns the jobs that no controller's updates end, if this controller is the coordinator.
 
-        No other controller finishes these jobs, because none holds a valid claim on them.
+        They are the cancelled jobs without a task that may still run, on which no controller holds a valid claim, and
+        the gangs of which an earlier version stored the completion of some tasks only.
         """
         if not self.is_coordinator:
             return []
@@ -93,7 +95,8 @@
         return [
             name
             for name, job in self.tables.jobs.items()
-            if job.is_cancelled and not may_have_tasks(job.progress.claims)
+            if (job.is_cancelled and not may_have_tasks(job.progress.claims))
+            or (job.spec.gang and job.progress.done and job.status == JobState.LIVE)
         ]
 
     def is_urgent(self) -> bool:
--- a/sloeswitch/core/records.py
+++ b/sloeswitch/core/records.py
@@ -226,6 +226,15 @@
         """All tasks of the job, in any state."""
         return taskset.full(self.spec.tasks)
 
+    def completed_with(self, tasks: TaskSet) -> TaskSet:
+        """All tasks that are done if the given ones have completed.
+
+        The tasks of a gang complete together, so the completion of one shows that of all. The machines of the others
+        may be lost before they report it.
+        """
+        completed = tasks & self.all_tasks
+        return self.all_tasks if self.spec.gang and completed else completed
+
     @property
     def is_cancelled(self) -> bool:
         """Whether its user cancelled it, or a direct or indirect prerequisite is cancelled."""
--- a/sloeswitch/core/uncommitted_updates.py
+++ b/sloeswitch/core/uncommitted_updates.py
@@ -56,7 +56,7 @@
         Users or other controllers may be waiting for the commit of such updates.
         """
         own_claims = job.progress.claims.get(incarnation_id, 0)
-        return not own_claims & ~(self.done | self.released) or bool(self.released)
+        return not own_claims & ~(job.completed_with(self.done) | self.released) or bool(self.released)
 
 
 class UncommittedUpdates:
--- a/tests/test_commit_schedule.py
+++ b/tests/test_commit_schedule.py
@@ -53,6 +53,24 @@
     assert schedule(store, updates, 100.4).due_jobs(()) == [JOB]
 
 
+def test_the_completion_of_one_task_of_a_gang_ends_it_without_a_delay(store: Store) -> None:
+    """Guards against users who are not told within 3 s, because the other tasks' machines never report."""
+    store.job(spec(shape="group"))
+    store.progress(JOB, c0_1=0b1111)
+    updates = UncommittedUpdates()
+    updates.merge(TaskUpdates(done={JOB: 0b0100}), now_s=100.0)
+    assert schedule(store, updates, 100.4).due_jobs([OTHER]) == [JOB, OTHER]
+
+
+def test_the_coordinator_ends_gangs_of_which_an_earlier_version_stored_some_tasks_as_done(store: Store) -> None:
+    store.job(spec(shape="group"))
+    store.progress(JOB, 0b0001, c0_1=0b1110)
+    store.job(spec(OTHER))
+    store.progress(OTHER, 0b0001, c0_1=0b1110)
+    assert schedule(store, UncommittedUpdates(), 0.0).due_jobs(()) == []
+    assert schedule(store, UncommittedUpdates(), 0.0, is_coordinator=True).due_jobs(()) == [JOB]
+
+
 def test_the_coordinator_ends_cancelled_jobs_whose_claims_are_void(store: Store) -> None:
     store.job(spec(), JobState.CANCELLED)
     store.progress(JOB, c1_1=0b0001)
