Workers: limit the tasks on a machine and the commands in a message

Nothing bounded the commands in an answer; nor the tasks on a machine, so that its reports, which list all of them, pass 64 KiB too and are refused.

Now a message holds as many commands as fit it, starts last, and those left over go with a later one; and a machine has 448 task slots, as many as a report can list in any case. Slots are a resource like cores: placement, preemption, demand and admission count them.

--- a/sloeswitch/admission/idle_capacity.py
+++ b/sloeswitch/admission/idle_capacity.py
@@ -10,15 +10,16 @@
 from sloeswitch.admission.capacity import MIN_MACHINES, IdleCapacity
 from sloeswitch.core.placement import FreeCapacity
 from sloeswitch.core.scaling import InstanceKind
-from sloeswitch.wire import MachineType
+from sloeswitch.wire import MAX_TASKS_ON_MACHINE, MachineType
 
 
 def free_fraction(capacity: FreeCapacity, machine_type: MachineType) -> float:
-    """Returns the free fraction of a machine, by its scarcest resource."""
+    """Returns the free fraction of a machine, by its scarcest resource; its task slots are one of them."""
     pairs = (
         (capacity.cores, machine_type.cores),
         (capacity.gpus, machine_type.gpus),
         (capacity.memory_gb, machine_type.memory),
+        (capacity.task_slots, MAX_TASKS_ON_MACHINE),
     )
     return max(0.0, min((free / whole for free, whole in pairs if whole > 0), default=0.0))
 
--- a/sloeswitch/core/machine.py
+++ b/sloeswitch/core/machine.py
@@ -162,6 +162,11 @@
     # Images present on the machine, the most recently used last.
     images: dict[str, None] = field(default_factory=dict)
 
+    @property
+    def listed_attempts(self) -> int:
+        """The number of attempts that its reports list, or will list once they are started."""
+        return len(self.attempts) + len(self.ended_attempts) + len(self.foreign_attempts)
+
     @property
     def is_recovered(self) -> bool:
         """Whether the attempts on the machine are known, from its report or because there can be none."""
--- a/sloeswitch/core/machine_registry.py
+++ b/sloeswitch/core/machine_registry.py
@@ -14,12 +14,13 @@
 
 from collections.abc import Mapping, Set
 
+from sloeswitch.core.command_batch import CommandBatch
 from sloeswitch.core.machine import Attempt, AttemptKey, Machine, TaskId
 from sloeswitch.core.placement import FreeCapacity
 from sloeswitch.core.quota import ResourceUsage
 from sloeswitch.core.records import JobState
 from sloeswitch.core.tables import Tables
-from sloeswitch.wire import CommandVerb, MachineType, WorkerCommand, split_task
+from sloeswitch.wire import MAX_TASKS_ON_MACHINE, CommandVerb, MachineType, WorkerCommand, split_task
 
 
 def _add_task(tasks: dict[str, int], task: TaskId) -> None:
@@ -314,25 +315,31 @@
     def commands(self, machine: Machine, tables: Tables, heartbeat_sequence: int | None) -> list[WorkerCommand]:
         """The commands to send to the machine; records which start commands are sent.
 
+        Those that do not fit one message are sent with a later one; starts come last.
+
         Args:
             machine: A machine of this registry.
             tables: The replicated tables. The worker is asked to clear a completion only once it is stored there.
             heartbeat_sequence: The sequence number of the heartbeat being answered. None for a direct command, which
                 carries no start command because the worker could execute it minutes late.
         """
-        commands = []
+        batch = CommandBatch()
         for key, is_completion in machine.ended_attempts.items():
             if (not is_completion or self._is_stored_done(tables, key)) and heartbeat_sequence is not None:
-                commands.append(WorkerCommand(CommandVerb.CLEAR, key.task, key.number))
+                batch.add(WorkerCommand(CommandVerb.CLEAR, key.task, key.number))
         for key in machine.foreign_attempts:
-            commands.append(WorkerCommand(CommandVerb.KILL, key.task, key.number, 0.0))
+            batch.add(WorkerCommand(CommandVerb.KILL, key.task, key.number, 0.0))
+        unreported: list[Attempt] = []
         for attempt in machine.attempts.values():
             if attempt.kill_grace_s is not None:
-                commands.append(WorkerCommand(CommandVerb.KILL, attempt.name, attempt.number, attempt.kill_grace_s))
-            elif not attempt.reported and heartbeat_sequence is not None and machine.reachable:
-                attempt.sent_sequence = heartbeat_sequence
-                commands.append(WorkerCommand(CommandVerb.START, attempt.name, attempt.number))
-        return commands
+                batch.add(WorkerCommand(CommandVerb.KILL, attempt.name, attempt.number, attempt.kill_grace_s))
+            elif not attempt.reported:
+                unreported.append(attempt)
+        if heartbeat_sequence is not None and machine.reachable:
+            for attempt in unreported:
+                if batch.add(WorkerCommand(CommandVerb.START, attempt.name, attempt.number)):
+                    attempt.sent_sequence = heartbeat_sequence
+        return batch.commands
 
     @staticmethod
     def _is_stored_done(tables: Tables, key: AttemptKey) -> bool:
@@ -373,6 +380,7 @@
             machine_type.gpus - machine.usage.gpus,
             machine_type.memory - machine.used_memory_gb,
             {*machine.images, *machine.image_attempts},
+            task_slots=MAX_TASKS_ON_MACHINE - machine.listed_attempts,
         )
 
     def is_schedulable(self, machine: Machine) -> bool:
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -16,7 +16,7 @@
 from sloeswitch.core.quota import ROUNDING_TOLERANCE, fits_type
 from sloeswitch.core.records import Job
 from sloeswitch.core.taskset import TaskSet
-from sloeswitch.wire import MAX_TASKS, JobSpec, MachineType
+from sloeswitch.wire import MAX_TASKS, MAX_TASKS_ON_MACHINE, JobSpec, MachineType
 
 
 class Reservation(NamedTuple):
@@ -40,6 +40,7 @@
         memory_gb: Its free memory in GB.
         images: The images that it has cached or is fetching.
         scarce: Whether some live job fits machines of this type but not those of some other type.
+        task_slots: How many more tasks the machine can report (`wire.MAX_TASKS_ON_MACHINE`).
     """
 
     machine: str
@@ -51,10 +52,11 @@
     memory_gb: float
     images: set[str] = field(default_factory=set)
     scarce: bool = False
+    task_slots: int = MAX_TASKS_ON_MACHINE
 
     def max_tasks(self, spec: JobSpec) -> int:
         """How many tasks of the job fit by their resources, without regard to its constraints."""
-        count = spec.tasks
+        count = min(spec.tasks, self.task_slots)
         if spec.cores > 0:
             count = min(count, int((self.cores + ROUNDING_TOLERANCE) // spec.cores))
         if spec.gpus > 0:
@@ -68,6 +70,7 @@
         self.cores -= count * spec.cores
         self.gpus -= count * spec.gpus
         self.memory_gb -= count * spec.memory
+        self.task_slots -= count
         self.images.add(spec.image)
 
     def copy(self) -> FreeCapacity:
@@ -131,8 +134,12 @@
 
 
 def without_full(capacities: list[FreeCapacity], min_task_cores: float) -> list[FreeCapacity]:
-    """Drops the machines that have fewer free cores than a task of any job needs."""
-    return [capacity for capacity in capacities if capacity.cores + ROUNDING_TOLERANCE >= min_task_cores]
+    """Drops the machines that have fewer free cores than a task of any job needs, or no task slot."""
+    return [
+        capacity
+        for capacity in capacities
+        if capacity.cores + ROUNDING_TOLERANCE >= min_task_cores and capacity.task_slots > 0
+    ]
 
 
 def tasks_allowed_in_zone(spec: JobSpec, zone: str, job_zone: str | None) -> TaskSet:
@@ -168,6 +175,7 @@
         if capacity.cores >= min_cores
         and capacity.memory_gb >= min_memory_gb
         and capacity.gpus >= min_gpus
+        and capacity.task_slots > 0
         and satisfies_constraints(spec, capacity)
     ]
     candidates.sort(key=lambda each: (each.scarce, spec.image not in each.images, not each.spot, each.cores))
--- a/sloeswitch/core/scaling.py
+++ b/sloeswitch/core/scaling.py
@@ -17,7 +17,7 @@
 from sloeswitch.core.slo_targets import slo_targets
 from sloeswitch.core.tables import Tables
 from sloeswitch.settings import Settings
-from sloeswitch.wire import JobSpec, MachineType
+from sloeswitch.wire import MAX_TASKS_ON_MACHINE, JobSpec, MachineType
 
 # The work of a job is spread over this share of the time left to its target. The rest is a margin for wrong estimates,
 # lost machines and slow boots. Scale-in uses a smaller share, which demands more machines: this avoids returning and
@@ -198,6 +198,7 @@
     shares = [spec.cores / machine_type.cores if machine_type.cores else 0.0]
     shares.append(spec.memory / machine_type.memory if machine_type.memory else 0.0)
     shares.append(spec.gpus / machine_type.gpus if machine_type.gpus else 0.0)
+    shares.append(1 / MAX_TASKS_ON_MACHINE)
     return tasks * max(shares)
 
 
@@ -235,7 +236,7 @@
                 break
             if unused[offer.kind] > 0 and wanted.can_run_on(offer):
                 share = machines_needed(wanted.spec, 1, offer.type)
-                packed = min(tasks, unused[offer.kind] / share) if share > 0 else tasks
+                packed = min(tasks, unused[offer.kind] / share)
                 unused[offer.kind] -= packed * share
                 tasks -= packed
         if tasks > ROUNDING_SLACK:
--- a/sloeswitch/wire/__init__.py
+++ b/sloeswitch/wire/__init__.py
@@ -54,6 +54,7 @@
     commit_body,
 )
 from sloeswitch.wire.workers import (
+    MAX_TASKS_ON_MACHINE,
     CommandVerb,
     ReportedTask,
     WorkerCommand,
@@ -66,6 +67,7 @@
     "JOB_ID_PATTERN",
     "MAX_BODY_BYTES",
     "MAX_TASKS",
+    "MAX_TASKS_ON_MACHINE",
     "ChangeEvent",
     "ChangeFeed",
     "CommandVerb",
--- a/sloeswitch/wire/workers.py
+++ b/sloeswitch/wire/workers.py
@@ -6,7 +6,14 @@
 
 from msgspec import Struct
 
-from sloeswitch.wire.codec import encode
+from sloeswitch.wire.codec import MAX_BODY_BYTES, encode
+
+# The largest size of a report without its tasks, and of one task in it: a job id of 35 bytes, an index of five digits,
+# an attempt of 20, the longest cause, and a space after each colon and comma.
+MAX_REPORT_ENVELOPE_BYTES = 1024
+MAX_REPORTED_TASK_BYTES = 144
+# A report is a request, so its size is limited. A controller cannot accept the reports of a machine with more tasks.
+MAX_TASKS_ON_MACHINE = (MAX_BODY_BYTES - MAX_REPORT_ENVELOPE_BYTES) // MAX_REPORTED_TASK_BYTES
 
 
 class CommandVerb(StrEnum):
