Spread jobs: divide the tasks that are not done between the zones

The zone of a task followed from its index, whatever was done: the upper half could never run in the stored zone. And machines of one zone counted as supply for all tasks, so none was rented elsewhere.

Now each completion lets one more task of the other half into a zone; both sets stay within half of the tasks and only lose tasks that are done, so that old completions and the version before give subsets. The autoscaler limits the tasks that it counts in a zone.

--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
-from sloeswitch.core import taskset
+from sloeswitch.core import taskset, zone_binding
 from sloeswitch.core.health import Health
 from sloeswitch.core.quota import ROUNDING_TOLERANCE, fits_type
 from sloeswitch.core.records import Job
@@ -142,22 +142,6 @@
     ]
 
 
-def tasks_allowed_in_zone(spec: JobSpec, zone: str, job_zone: str | None) -> TaskSet:
-    """The tasks of a zone-bound job that may run in a zone, given the zone stored for the job.
-
-    While no zone is stored, its tasks may not run anywhere. The tasks of a `one_zone` job run in the stored zone. Of a
-    `spread` job, the lower half of the task indexes, rounded up, runs in the stored zone and the others run in any
-    other zone. The split by index saves controllers from counting each other's tasks.
-    """
-    if job_zone is None:
-        return 0
-    all_tasks = taskset.full(spec.tasks)
-    if spec.one_zone:
-        return all_tasks if zone == job_zone else 0
-    lower_half = taskset.full((spec.tasks + 1) // 2)
-    return lower_half if zone == job_zone else all_tasks & ~lower_half
-
-
 def rank_capacities(spec: JobSpec, capacities: list[FreeCapacity]) -> list[FreeCapacity]:
     """The machines with capacity for a task of the job, the best first.
 
@@ -211,14 +195,23 @@
     spec = job.spec
     job_zone = job.progress.zone or zone
     placements: list[Placement] = []
+    allowed_by_zone: dict[str, TaskSet] = {}
+    # Placed after those that have no other zone to run in.
+    unrestricted = zone_binding.unrestricted_tasks(spec, job.progress.done)
     for capacity in rank_capacities(spec, capacities):
         if not tasks:
             break
         count = capacity.max_tasks(spec)
         allowed = tasks
         if spec.zone_bound:
-            allowed &= tasks_allowed_in_zone(spec, capacity.zone, job_zone)
-        chosen = taskset.lowest(allowed, min(count, max_count - len(placements)))
+            if capacity.zone not in allowed_by_zone:
+                allowed_by_zone[capacity.zone] = zone_binding.tasks_allowed_in_zone(
+                    spec, capacity.zone, job_zone, job.progress.done
+                )
+            allowed &= allowed_by_zone[capacity.zone]
+        count = min(count, max_count - len(placements))
+        chosen = taskset.lowest(allowed & ~unrestricted, count)
+        chosen |= taskset.lowest(allowed & unrestricted, count - chosen.bit_count())
         if chosen:
             capacity.take(spec, chosen.bit_count())
             placements += [Placement(index, capacity) for index in taskset.task_numbers(chosen)]
--- a/sloeswitch/core/scaling.py
+++ b/sloeswitch/core/scaling.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import NamedTuple
 
 from sloeswitch.core.job_queue import has_started_tasks
@@ -16,6 +16,7 @@
 from sloeswitch.core.records import Job
 from sloeswitch.core.slo_targets import slo_targets
 from sloeswitch.core.tables import Tables
+from sloeswitch.core.zone_binding import ZoneLimits
 from sloeswitch.settings import Settings
 from sloeswitch.wire import MAX_TASKS_ON_MACHINE, JobSpec, MachineType
 
@@ -84,10 +85,30 @@
     # The zone to which the job is bound by its claimed tasks. Without it, the machines there would be returned because
     # other zones, which the job can't use, have free capacity.
     bound_zone: str | None = None
+    # The limits by zone of a `spread` job. Without them, machines of one zone would count as supply for all its tasks.
+    zone_limits: ZoneLimits | None = None
 
     def can_run_on(self, offer: InstanceOffer) -> bool:
-        """Whether the tasks may run on machines of the offered kind."""
-        return offer.can_run(self.spec, self.bound_zone)
+        """Whether any of the tasks may run on machines of the offered kind."""
+        return offer.can_run(self.spec, self.bound_zone) and (
+            self.zone_limits is None or self.zone_limits.tasks_left(offer.kind.zone) > ROUNDING_SLACK
+        )
+
+    def tasks_on(self, offer: InstanceOffer) -> float:
+        """How many of the tasks may run on machines of the offered kind, if any may."""
+        if self.zone_limits is None:
+            return self.tasks
+        return min(self.tasks, self.zone_limits.tasks_left(offer.kind.zone))
+
+    def copy(self) -> Demand:
+        """A copy that can be packed without changing this one."""
+        return replace(self, zone_limits=None if self.zone_limits is None else self.zone_limits.copy())
+
+    def pack(self, offer: InstanceOffer, tasks: float) -> None:
+        """Takes tasks off the demand that are packed onto machines of the offered kind."""
+        self.tasks -= tasks
+        if self.zone_limits is not None:
+            self.zone_limits.count(offer.kind.zone, tasks)
 
 
 class RemainingQuota:
@@ -178,7 +199,7 @@
         tasks = min(tasks_at_once(job), quota.tasks_within(spec))
         if tasks > 0:
             quota.take(spec, tasks)
-            found.append(Demand(spec, tasks, bound_zone_of(job)))
+            found.append(Demand(spec, tasks, bound_zone_of(job), ZoneLimits.of_job(job)))
     return found
 
 
@@ -230,17 +251,17 @@
     unused = {offer.kind: float(supply.get(offer.kind, 0)) for offer in offers}
     unmet: list[Demand] = []
     for wanted in demand:
-        tasks = float(wanted.tasks)
+        rest = wanted.copy()
         for offer in offers:
-            if tasks <= 0:
+            if rest.tasks <= 0:
                 break
-            if unused[offer.kind] > 0 and wanted.can_run_on(offer):
-                share = machines_needed(wanted.spec, 1, offer.type)
-                packed = min(tasks, unused[offer.kind] / share)
+            if unused[offer.kind] > 0 and rest.can_run_on(offer):
+                share = machines_needed(rest.spec, 1, offer.type)
+                packed = min(rest.tasks_on(offer), unused[offer.kind] / share)
                 unused[offer.kind] -= packed * share
-                tasks -= packed
-        if tasks > ROUNDING_SLACK:
-            unmet.append(Demand(wanted.spec, tasks, wanted.bound_zone))
+                rest.pack(offer, packed)
+        if rest.tasks > ROUNDING_SLACK:
+            unmet.append(rest)
     return PackedDemand(unused, unmet)
 
 
@@ -291,7 +312,9 @@
         if offer.kind in refused:
             continue
         machines = sum(
-            machines_needed(wanted.spec, 1, offer.type) * wanted.tasks for wanted in unmet if wanted.can_run_on(offer)
+            machines_needed(wanted.spec, 1, offer.type) * wanted.tasks_on(offer)
+            for wanted in unmet
+            if wanted.can_run_on(offer)
         )
         if machines >= MIN_FILL_TO_SCALE_OUT or any(wanted.can_run_on(offer) for wanted in without_machine):
             worthwhile.append((offer, machines))
--- a/sloeswitch/core/taskset.py
+++ b/sloeswitch/core/taskset.py
@@ -110,6 +110,11 @@
         number = bits.find("1", number + 1)
 
 
+def highest(tasks: TaskSet, count: int) -> TaskSet:
+    """Returns the subset of the `count` highest task numbers, or the whole set if it has no more."""
+    return tasks & ~lowest(tasks, max(0, tasks.bit_count() - count))
+
+
 def lowest(tasks: TaskSet, count: int) -> TaskSet:
     """Returns the subset of the `count` lowest task numbers, or the whole set if it has no more."""
     if tasks.bit_count() <= count:
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -59,6 +59,28 @@
     assert plan is not None and plan.kind == spot_in_b
 
 
+def test_machines_of_one_zone_do_not_supply_all_tasks_of_a_spread_job(store: Store) -> None:
+    """Guards against spread jobs whose other half never runs: no machine was rented in another zone."""
+    settings = parse(SETTINGS)
+    store.job(spec(spread=True, visits=8, dueS=45.0))
+    spot_in_b = InstanceKind("small", "b", True)
+    for row in (None, {"d": [], "c": {"c0.1": [0, 4]}, "z": "a"}):
+        if row is not None:
+            store.put(keys.progress_key("wk-000001"), row)
+        wanted = scaling.current_demand(store.tables, settings, 0, 1.0)
+        plan = scaling.plan_scale_out(wanted, {SPOT: 3}, TYPES, set(), 50)
+        assert plan == scaling.ScaleOutPlan(spot_in_b, 1)
+        assert scaling.plan_scale_out(wanted, {SPOT: 1, spot_in_b: 1}, TYPES, set(), 50) is None
+        assert scaling.plan_scale_in(wanted, {SPOT: 3}, TYPES) == {}
+
+
+def test_once_half_of_a_spread_job_is_done_machines_of_one_zone_supply_the_rest(store: Store) -> None:
+    store.job(spec(spread=True, visits=8, dueS=45.0))
+    store.put(keys.progress_key("wk-000001"), {"d": [0, 4], "c": {"c0.1": [4, 1]}, "z": "a"})
+    wanted = scaling.current_demand(store.tables, parse(SETTINGS), 0, 1.0)
+    assert scaling.plan_scale_out(wanted, {SPOT: 2}, TYPES, set(), 50) is None
+
+
 def test_demand_is_limited_by_the_remaining_quota_of_the_teams(store: Store) -> None:
     """The oldest job goes first; jobs of unknown teams have no demand."""
     settings = parse(SETTINGS)
