Coordinator: release the zone of jobs whose claims are all void

The claim of the former incarnation was void, but nothing wrote the row again, and the planner and the autoscaler keep to the stored zone.

Evidence: the rentals in the record are all in the exhausted zone, and the poll says running, as while a claim is stored. The coordinator now writes such rows once the recovery is complete, on condition of row and view, as it ends cancelled jobs whose claims are void.

--- a/sloeswitch/core/commit_schedule.py
+++ b/sloeswitch/core/commit_schedule.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from sloeswitch.core.records import JobState
+from sloeswitch.core.records import Job, JobState
 from sloeswitch.core.tables import Tables
 from sloeswitch.core.uncommitted_updates import JobUpdates, UncommittedUpdates
 
@@ -51,7 +51,7 @@
         claims_and_adoptions = [
             name for pair in itertools.zip_longest(requested, adopting) for name in pair if name is not None
         ]
-        return list(dict.fromkeys([*ending, *claims_and_adoptions, *others, *self._jobs_to_finish()]))
+        return list(dict.fromkeys([*ending, *claims_and_adoptions, *others, *self._unattended_jobs()]))
 
     def _due_updates(self) -> tuple[list[str], list[str]]:
         """Returns the jobs whose updates have waited long enough: those that end with the updates, and the others."""
@@ -78,11 +78,13 @@
         job = self.tables.jobs.get(name)
         return job is not None and job_updates.ends_claims(job, self.incarnation_id)
 
-    def _jobs_to_finish(self) -> list[str]:
-        """Returns the jobs that no controller's updates end, if this controller is the coordinator.
+    def _unattended_jobs(self) -> list[str]:
+        """Returns the jobs whose rows have to change although no controller has updates of them.
 
-        They are the cancelled jobs without a task that may still run, on which no controller holds a valid claim, and
-        the gangs of which an earlier version stored the completion of some tasks only.
+        Only the coordinator writes them. The rows of these jobs change:
+        - cancelled jobs without a task that may still run end;
+        - gangs end of which an earlier version stored the completion of some tasks only;
+        - zone-bound jobs whose claims are all void lose their zone. They would wait for machines there for ever.
         """
         if not self.is_coordinator:
             return []
@@ -92,12 +94,14 @@
         def may_have_tasks(claims: Mapping[str, int]) -> bool:
             return any(tasks for holder, tasks in claims.items() if holder in members or not recovery_complete)
 
-        return [
-            name
-            for name, job in self.tables.jobs.items()
-            if (job.is_cancelled and not may_have_tasks(job.progress.claims))
-            or (job.spec.gang and job.progress.done and job.status == JobState.LIVE)
-        ]
+        def is_unattended(job: Job) -> bool:
+            if job.is_cancelled:
+                return not may_have_tasks(job.progress.claims)
+            if job.spec.gang and job.progress.done:
+                return job.status == JobState.LIVE
+            return job.progress.zone is not None and not may_have_tasks(job.progress.claims)
+
+        return [name for name, job in self.tables.jobs.items() if is_unattended(job)]
 
     def is_urgent(self) -> bool:
         """Whether any update is urgent.
--- a/tests/test_commit_schedule.py
+++ b/tests/test_commit_schedule.py
@@ -71,6 +71,17 @@
     assert schedule(store, UncommittedUpdates(), 0.0, is_coordinator=True).due_jobs(()) == [JOB]
 
 
+def test_the_coordinator_releases_the_zone_of_jobs_whose_claims_are_all_void(store: Store) -> None:
+    void, valid = {"c1.1": [0, 4]}, {"c1.1": [0, 3], "c1.2": [3, 1]}
+    for name, claims in ((JOB, void), (OTHER, valid)):
+        store.job(spec(name, together=True))
+        store.put(keys.progress_key(name), {"d": [], "c": claims, "z": "b"})
+    assert schedule(store, UncommittedUpdates(), 0.0).due_jobs(()) == []
+    assert schedule(store, UncommittedUpdates(), 0.0, is_coordinator=True).due_jobs(()) == [JOB]
+    store.view(4, ("c0", 1), ("c1", 2))  # not recovered: the claims may still be adopted
+    assert schedule(store, UncommittedUpdates(), 0.0, is_coordinator=True).due_jobs(()) == []
+
+
 def test_the_coordinator_ends_cancelled_jobs_whose_claims_are_void(store: Store) -> None:
     store.job(spec(), JobState.CANCELLED)
     store.progress(JOB, c1_1=0b0001)
