Autoscaler: the demand of a gang is all its tasks

Callers saw a gang of several tasks without a deadline stay queued for ever beside machines for half of it: no other machine was rented. current_demand spread its work over the time left, as for arrays; admission counted all tasks already.

The new test in tests/test_scaling.py fails before and passes now.

--- a/sloeswitch/core/scaling.py
+++ b/sloeswitch/core/scaling.py
@@ -207,7 +207,9 @@
     """The demand of jobs that are runnable, or soon will be, within the teams' limits, the oldest first."""
     jobs = (job for job in tables.jobs.values() if job.is_runnable or is_runnable_soon(job, tables))
     return demand_within_quota(
-        jobs, RemainingQuota.from_settings(settings), lambda job: parallel_tasks(job, settings, wall_clock_ms, spread)
+        jobs,
+        RemainingQuota.from_settings(settings),
+        lambda job: parallel_or_gang_tasks(job, settings, wall_clock_ms, spread),
     )
 
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -81,6 +81,17 @@
     assert scaling.plan_scale_out(wanted, {SPOT: 2}, TYPES, set(), 50) is None
 
 
+def test_the_demand_of_a_gang_is_all_its_tasks(store: Store) -> None:
+    """Guards against gangs that never start: as they have no deadline, machines for half of their tasks were enough."""
+    settings = parse(SETTINGS)
+    store.job(spec(shape="group", visits=8, dueS=None))
+    (wanted,) = scaling.current_demand(store.tables, settings, 0, scaling.SCALE_OUT_SPREAD)
+    assert wanted.tasks == 8
+    assert scaling.plan_scale_out([wanted], {SPOT: 1}, TYPES, set(), 50) == scaling.ScaleOutPlan(
+        InstanceKind("small", "b", True), 1
+    )
+
+
 def test_demand_is_limited_by_the_remaining_quota_of_the_teams(store: Store) -> None:
     """The oldest job goes first; jobs of unknown teams have no demand."""
     settings = parse(SETTINGS)
