Worker commands: a module of their own, with one function for each kind of message

MachineRegistry.commands used nothing of the registry, and its caller said by a None that a message is a direct command. core/worker_commands.py has heartbeat_commands and direct_commands, beside the limit on a message; the registry is 38 lines shorter.

--- a/sloeswitch/actors/commands.py
+++ b/sloeswitch/actors/commands.py
@@ -19,6 +19,7 @@
 from sloeswitch.actors.context import ControllerContext
 from sloeswitch.core.machine import Attempt, Machine
 from sloeswitch.core.machine_registry import MachineRegistry
+from sloeswitch.core.worker_commands import direct_commands
 from sloeswitch.http_client import Client, HttpTransportError
 from sloeswitch.settings import Address
 
@@ -67,7 +68,6 @@
         settings = context.settings
         self.settings = settings
         self.leadership = context.leadership
-        self.tables = context.tables
         self.now = context.clock.now
         self.registry = registry
         self.spawn = spawn
@@ -195,7 +195,7 @@
         for _ in range(2):
             if not self.leadership.may_answer_workers or self.registry.machines.get(machine.name) is not machine:
                 return
-            commands = self.registry.commands(machine, self.tables, None) if machine.reconciled else []
+            commands = direct_commands(machine) if machine.reconciled else []
             body = wire.encode(wire.WorkerCommands(self.leadership.view.number, commands, agent_epoch))
             reply = await self._client(machine.address).request("POST", "/commands", body, self.timeout_s)
             if reply.status not in (200, 409):
--- a/sloeswitch/actors/heartbeat_handler.py
+++ b/sloeswitch/actors/heartbeat_handler.py
@@ -16,6 +16,7 @@
 from sloeswitch.actors.task_placement import TaskPlacement
 from sloeswitch.core.machine import Machine
 from sloeswitch.core.reconciliation import ReceivedReport, ReconcileResult, is_outdated, reconcile
+from sloeswitch.core.worker_commands import heartbeat_commands
 from sloeswitch.http import Answer, retry_later
 
 log = logging.getLogger("machines")
@@ -82,7 +83,7 @@
                 machine.reachable_at = now
             self._apply_reconciled(machine, result)
             self.task_placement.fill_machine(machine)
-            commands = self.registry.commands(machine, self.tables, report.sequence)
+            commands = heartbeat_commands(machine, self.tables, report.sequence)
         machine.answered_at = now
         # Until the machine is recovered, a lease from an earlier owner's answer may last longer than this one.
         machine.lease_expires_at = max(
--- a/sloeswitch/core/machine_registry.py
+++ b/sloeswitch/core/machine_registry.py
@@ -14,13 +14,11 @@
 
 from collections.abc import Mapping, Set
 
-from sloeswitch.core.command_batch import CommandBatch
-from sloeswitch.core.machine import Attempt, AttemptKey, Machine, TaskId
+from sloeswitch.core.machine import Attempt, Machine, TaskId
 from sloeswitch.core.placement import FreeCapacity
 from sloeswitch.core.quota import ResourceUsage
-from sloeswitch.core.records import JobState
 from sloeswitch.core.tables import Tables
-from sloeswitch.wire import MAX_TASKS_ON_MACHINE, CommandVerb, MachineType, WorkerCommand, split_task
+from sloeswitch.wire import MAX_TASKS_ON_MACHINE, MachineType, split_task
 
 
 def _add_task(tasks: dict[str, int], task: TaskId) -> None:
@@ -310,43 +308,7 @@
         """
         return claimed & ~excluded & ~self.busy_tasks(job)
 
-    # -- commands
-
-    def commands(self, machine: Machine, tables: Tables, heartbeat_sequence: int | None) -> list[WorkerCommand]:
-        """The commands to send to the machine; records which start commands are sent.
-
-        Those that do not fit one message are sent with a later one; starts come last.
-
-        Args:
-            machine: A machine of this registry.
-            tables: The replicated tables. The worker is asked to clear a completion only once it is stored there.
-            heartbeat_sequence: The sequence number of the heartbeat being answered. None for a direct command, which
-                carries no start command because the worker could execute it minutes late.
-        """
-        batch = CommandBatch()
-        for key, is_completion in machine.ended_attempts.items():
-            if (not is_completion or self._is_stored_done(tables, key)) and heartbeat_sequence is not None:
-                batch.add(WorkerCommand(CommandVerb.CLEAR, key.task, key.number))
-        for key in machine.foreign_attempts:
-            batch.add(WorkerCommand(CommandVerb.KILL, key.task, key.number, 0.0))
-        unreported: list[Attempt] = []
-        for attempt in machine.attempts.values():
-            if attempt.kill_grace_s is not None:
-                batch.add(WorkerCommand(CommandVerb.KILL, attempt.name, attempt.number, attempt.kill_grace_s))
-            elif not attempt.reported:
-                unreported.append(attempt)
-        if heartbeat_sequence is not None and machine.reachable:
-            for attempt in unreported:
-                if batch.add(WorkerCommand(CommandVerb.START, attempt.name, attempt.number)):
-                    attempt.sent_sequence = heartbeat_sequence
-        return batch.commands
-
-    @staticmethod
-    def _is_stored_done(tables: Tables, key: AttemptKey) -> bool:
-        """Whether the task's completion is stored, or is not needed because its job is no longer live."""
-        job, index = split_task(key.task)
-        record = tables.jobs.get(job)
-        return record is None or record.status != JobState.LIVE or bool(record.progress.done >> index & 1)
+    # -- stopping attempts
 
     def mark_for_kill(self, machine: Machine, attempt: Attempt, grace_s: float) -> bool:
         """Marks an attempt to be killed, or removes it if it was never sent.
--- a/tests/support/cluster_cloud.py
+++ b/tests/support/cluster_cloud.py
@@ -8,6 +8,7 @@
 from sloeswitch.actors.commands import CommandReply, InspectionReply
 from sloeswitch.actors.machine_messages import InstancesDeleted
 from sloeswitch.core.machine import Machine
+from sloeswitch.core.worker_commands import direct_commands
 
 if TYPE_CHECKING:
     from tests.support.cluster_node import Node
@@ -53,7 +54,7 @@
         commands.record_sending(machine)
         if worker is None or not node.leadership.may_answer_workers:
             return
-        worker_commands = node.machines.registry.commands(machine, node.tables, None) if machine.reconciled else []
+        worker_commands = direct_commands(machine) if machine.reconciled else []
         message = wire.WorkerCommands(node.leadership.view.number, worker_commands, machine.agent_epoch or 1)
         world.recorder.record("command", node.settings.member, machine.name, wire.encode(message))
         # The next probe is due as after a real command, which ends when its timeout expires at the latest.
--- a/tests/test_many_tasks_on_a_machine.py
+++ b/tests/test_many_tasks_on_a_machine.py
@@ -9,8 +9,8 @@
 import pytest
 
 from sloeswitch import wire
-from sloeswitch.core.command_batch import CommandBatch
 from sloeswitch.core.scaling import machines_needed
+from sloeswitch.core.worker_commands import CommandBatch
 from sloeswitch.wire import MAX_BODY_BYTES, MAX_TASKS_ON_MACHINE, CommandVerb, WorkerCommand
 from tests.conftest import MACHINE_TYPE, spec
 from tests.support.cluster import World
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -5,6 +5,7 @@
 from sloeswitch.core.machine import Attempt, Machine, TaskId
 from sloeswitch.core.machine_registry import MachineRegistry
 from sloeswitch.core.reconciliation import ReceivedReport, reconcile
+from sloeswitch.core.worker_commands import direct_commands, heartbeat_commands
 from tests.conftest import Store, spec, worker_report
 
 JOB = "wk-000001"
@@ -25,7 +26,7 @@
     reconcile(registry, machine, ReceivedReport(worker_report(1, 3), True, 0.0, 3), store.tables)
     machine.reachable = True
     registry.add_attempt(machine, Attempt(JOB, 0, 77, spec()))
-    commands = registry.commands(machine, store.tables, 1)
+    commands = heartbeat_commands(machine, store.tables, 1)
     assert [(command.verb, command.task, command.attempt) for command in commands] == [("start", f"{JOB}/0", 77)]
     return registry, machine
 
@@ -42,12 +43,12 @@
     registry, machine = registry_with_started_task(store)
     reconcile(registry, machine, ReceivedReport(worker_report(2, 3), True, 1.0, 3), store.tables)
     assert registry.placed_tasks[JOB] == 0b1
-    assert [command.verb for command in registry.commands(machine, store.tables, 2)] == ["start"]
+    assert [command.verb for command in heartbeat_commands(machine, store.tables, 2)] == ["start"]
 
 
 def test_start_is_never_sent_by_direct_command(store: Store) -> None:
-    registry, machine = registry_with_started_task(store)
-    assert registry.commands(machine, store.tables, None) == []
+    _registry, machine = registry_with_started_task(store)
+    assert direct_commands(machine) == []
 
 
 def test_outdated_report_changes_nothing(store: Store) -> None:
@@ -83,9 +84,9 @@
     ended = (f"{JOB}/0", 77, "ended", "done")
     result = reconcile(registry, machine, ReceivedReport(worker_report(2, 3, ended), True, 1.0, 3), store.tables)
     assert result.done == [((JOB, 0), "vm-1")]
-    assert registry.commands(machine, store.tables, 2) == []
+    assert heartbeat_commands(machine, store.tables, 2) == []
     store.progress(JOB, done=0b1)
-    assert [command.verb for command in registry.commands(machine, store.tables, 3)] == ["clear"]
+    assert [command.verb for command in heartbeat_commands(machine, store.tables, 3)] == ["clear"]
 
 
 def test_task_of_an_earlier_owner_is_adopted(store: Store) -> None:
@@ -110,7 +111,7 @@
         registry, machine, ReceivedReport(worker_report(1, 3, (f"{JOB}/1", 5, "running")), True, 0.0, 3), store.tables
     )
     assert result.adopted == []
-    assert [command.verb for command in registry.commands(machine, store.tables, 1)] == ["kill"]
+    assert [command.verb for command in heartbeat_commands(machine, store.tables, 1)] == ["kill"]
 
 
 def test_pending_adoption_is_dropped_when_the_machine_is_released(store: Store) -> None:
@@ -155,6 +156,6 @@
 def test_cancelled_start_in_flight_gets_kill_commands_until_a_heartbeat_omits_it(store: Store) -> None:
     registry, machine = registry_with_started_task(store)
     assert registry.mark_for_kill(machine, machine.attempts[TaskId(JOB, 0)], 0.0)
-    assert [command.verb for command in registry.commands(machine, store.tables, None)] == ["kill"]
+    assert [command.verb for command in direct_commands(machine)] == ["kill"]
     reconcile(registry, machine, ReceivedReport(worker_report(2, 3), True, 1.0, 3), store.tables)
     assert registry.placed_tasks == {}
