Claim planner: unplaced tasks, as the registry calls them

The planner called claimed tasks without a machine idle, a word that now also stands for unused allocations.

--- a/sloeswitch/actors/claim_requester.py
+++ b/sloeswitch/actors/claim_requester.py
@@ -80,7 +80,7 @@
             team_usage=usage,
             available_quota={team.name: self.quota.available(team, usage[team.name]) for team in teams.values()},
             quota_allocations={team: self.quota.allocation(team) for team in teams},
-            idle_claims=self.task_updates.unplaced_tasks,
+            unplaced_tasks=self.task_updates.unplaced_tasks,
             expected_free_cores=self._expected_free_cores(),
             min_task_cores=self.queue.min_task_cores,
             reservations=self.gang_preemption.reservations,
--- a/sloeswitch/core/claim_planner.py
+++ b/sloeswitch/core/claim_planner.py
@@ -54,8 +54,8 @@
             controller handed off.
         available_quota: By team, the largest allocation that this controller could get.
         quota_allocations: By team, the current allocation of this controller.
-        idle_claims: Returns the set of a job's tasks that this controller has claimed but not placed. It is a function
-            so that it is computed only for the jobs that the pass reaches.
+        unplaced_tasks: Returns the set of a job's tasks that this controller has claimed but not placed. A function, so
+            that it is computed only for the jobs that the pass reaches.
         expected_free_cores: The number of cores that are expected to become free in the time that a claim takes.
         min_task_cores: The smallest number of cores that a task of any job needs.
         reservations: The reservations, by machine.
@@ -70,7 +70,7 @@
     team_usage: Mapping[str, quota.ResourceUsage]
     available_quota: Mapping[str, quota.ResourceAmount]
     quota_allocations: Mapping[str, quota.ResourceAmount]
-    idle_claims: Callable[[Job], int]
+    unplaced_tasks: Callable[[Job], int]
     expected_free_cores: float
     min_task_cores: float
     reservations: Mapping[str, placement.Reservation]
@@ -215,11 +215,11 @@
         # In the second turn of a job that is listed in the queue twice: the tasks that its first turn placed. None if
         # the first turn ended before placement.
         planned_before = self.planned_tasks.get(spec.id)
-        idle = 0 if planned_before else self.snapshot.idle_claims(job)
+        unplaced = 0 if planned_before else self.snapshot.unplaced_tasks(job)
         unclaimed = self.tables.unclaimed_tasks(job, self.recovery_complete) & ~(planned_before or 0)
-        if not (unclaimed or idle) or self.snapshot.health.is_job_paused(spec.id, self.snapshot.now):
+        if not (unclaimed or unplaced) or self.snapshot.health.is_job_paused(spec.id, self.snapshot.now):
             return
-        count = self._max_tasks(job, unclaimed.bit_count() + idle.bit_count(), is_first=planned_before is None)
+        count = self._max_tasks(job, unclaimed.bit_count() + unplaced.bit_count(), is_first=planned_before is None)
         if count == 0 or (spec.gang and count < spec.tasks):
             return
         candidates = placement.eligible(
@@ -227,11 +227,11 @@
         )
         if spec.zone_bound and not self._choose_zone(job, candidates):
             return  # no task is claimed until a zone can be chosen
-        placed = self._place(job, unclaimed, idle, count, candidates)
+        placed = self._place(job, unclaimed, unplaced, count, candidates)
         if spec.gang and placed.bit_count() < spec.tasks:
             return
         self.claims.usable_quota[spec.team].add(spec, placed.bit_count())
-        self._claim(job, unclaimed, idle, count, placed)
+        self._claim(job, unclaimed, unplaced, count, placed)
 
     def _max_tasks(self, job: Job, count: int, is_first: bool) -> int:
         """Limits a number of tasks by the job's health, its starvation and the quota of its team.
@@ -263,8 +263,10 @@
         self.claims.zones[spec.id] = max(fitting, key=lambda each: each.max_tasks(spec)).zone
         return True
 
-    def _place(self, job: Job, unclaimed: int, idle: int, count: int, candidates: list[placement.FreeCapacity]) -> int:
-        """Places at most `count` tasks, idle claims included; returns the set of placed tasks."""
+    def _place(
+        self, job: Job, unclaimed: int, unplaced: int, count: int, candidates: list[placement.FreeCapacity]
+    ) -> int:
+        """Places at most `count` tasks, those claimed already included; returns the set of placed tasks."""
         spec = job.spec
         # A gang is tried on copies: if it does not fit as a whole, it takes no capacity.
         capacities = [each.copy() for each in candidates] if spec.gang else candidates
@@ -274,9 +276,9 @@
             return 0
         self.capacities_scanned += len(capacities)
         # The zone of a zone-bound task depends on its index, so the lowest-numbered tasks may not fit where others do.
-        tasks = unclaimed if spec.zone_bound else taskset.lowest(unclaimed, max(0, count - idle.bit_count()))
+        tasks = unclaimed if spec.zone_bound else taskset.lowest(unclaimed, max(0, count - unplaced.bit_count()))
         zone = self.claims.zones.get(spec.id)
-        placements = placement.pack_tasks(job, tasks | taskset.lowest(idle, count), capacities, zone, count)
+        placements = placement.pack_tasks(job, tasks | taskset.lowest(unplaced, count), capacities, zone, count)
         placed = taskset.from_numbers(each.task_index for each in placements)
         if not placements and len(capacities) == len(self.capacities) and not spec.zone_bound:
             self.unplaceable_shapes.add(shape)
@@ -285,10 +287,10 @@
             self.capacities = placement.without_full(self.capacities, self.snapshot.min_task_cores)
         return placed
 
-    def _claim(self, job: Job, unclaimed: int, idle: int, count: int, placed: int) -> None:
+    def _claim(self, job: Job, unclaimed: int, unplaced: int, count: int, placed: int) -> None:
         """Adds claims for the tasks that were placed, and for some ahead."""
         spec = job.spec
-        idle_count = idle.bit_count()
+        unplaced_count = unplaced.bit_count()
         placed_count = placed.bit_count()
         ahead = 0
         if not (spec.gang or spec.zone_bound):
@@ -296,8 +298,8 @@
                 count - placed_count, int(self.remaining_expected_cores // max(spec.cores, quota.ROUNDING_TOLERANCE))
             )
             self.remaining_expected_cores -= ahead * spec.cores
-        wanted = min(unclaimed.bit_count(), max(0, placed_count + ahead - idle_count))
-        is_worth_a_write = placed_count > idle_count or 2 * idle_count < ahead
+        wanted = min(unclaimed.bit_count(), max(0, placed_count + ahead - unplaced_count))
+        is_worth_a_write = placed_count > unplaced_count or 2 * unplaced_count < ahead
         claims = self.claims
         if not wanted or not is_worth_a_write or len(claims.task_counts) >= self.limits.max_jobs:
             return
