--- a/tests/support/zone_world.py
+++ b/tests/support/zone_world.py
@@ -1,4 +1,4 @@
-"""A simulated cluster with one zone-bound job and machines in two zones, which stop and are not replaced."""
+"""A simulated cluster with one zone-bound job and machines in some zones, which stop and are not replaced."""
 
 from __future__ import annotations
 
@@ -17,7 +17,8 @@
 class ZoneWorld(World):
     """The cluster. Each start is checked against the rules for the zones of the job's other tasks."""
 
-    def __init__(self, seed: int, job: JobSpec) -> None:
+    def __init__(self, seed: int, job: JobSpec, zones: tuple[str, ...] = ZONES) -> None:
+        self.zones = zones
         text = SETTINGS.replace("cpus_max = 20.0", "cpus_max = 100.0")
         super().__init__(seed, members=MEMBERS, machines=MACHINES, text=text)
         self.job = job
@@ -26,7 +27,7 @@
     def new_worker(self, name: str) -> Worker:
         """Returns a new worker; the zones take turns."""
         number = int(name.partition("-")[2])
-        return Worker(self, name, zone=ZONES[number % len(ZONES)])
+        return Worker(self, name, zone=self.zones[number % len(self.zones)])
 
     def coordinate(self) -> None:
         """Does the coordinator's work, and elects one when there is none."""
