--- a/sloeswitch/actors/task_placement.py
+++ b/sloeswitch/actors/task_placement.py
@@ -16,6 +16,7 @@
 from sloeswitch.core.machine import Attempt, Machine
 from sloeswitch.core.quota import fits_type
 from sloeswitch.core.records import Job
+from sloeswitch.wire import MAX_TASKS_ON_MACHINE
 
 log = logging.getLogger("machines")
 
@@ -111,6 +112,7 @@
         if (
             machine_type is None
             or self.registry.free_cores(machine, machine_type) + quota.ROUNDING_TOLERANCE < self.queue.min_task_cores
+            or machine.listed_attempts >= MAX_TASKS_ON_MACHINE
             or not self.registry.is_schedulable(machine)
             # A machine whose reports are late gets no new tasks. Otherwise a machine that answers commands but cannot
             # report would get tasks again and again: they start only with the answer to a report, and are removed.
--- a/sloeswitch/core/placement.py
+++ b/sloeswitch/core/placement.py
@@ -134,12 +134,8 @@
 
 
 def without_full(capacities: list[FreeCapacity], min_task_cores: float) -> list[FreeCapacity]:
-    """Drops the machines that have fewer free cores than a task of any job needs, or no task slot."""
-    return [
-        capacity
-        for capacity in capacities
-        if capacity.cores + ROUNDING_TOLERANCE >= min_task_cores and capacity.task_slots > 0
-    ]
+    """Drops the machines that have fewer free cores than a task of any job needs."""
+    return [capacity for capacity in capacities if capacity.cores + ROUNDING_TOLERANCE >= min_task_cores]
 
 
 def rank_capacities(spec: JobSpec, capacities: list[FreeCapacity]) -> list[FreeCapacity]:
@@ -149,7 +145,7 @@
     machines that have the job's image, which saves fetching it; spot machines; the fewest free cores. The last two keep
     expensive and empty machines free of tasks, so that they can be returned to the cloud.
     """
-    # Equivalent to max_tasks() > 0, but without a call for each of the thousands of machines scanned for each job.
+    # Like max_tasks() > 0, except for task slots, without a call for each of the thousands of machines scanned.
     min_cores, min_gpus, min_memory_gb = (
         amount - ROUNDING_TOLERANCE if amount > 0 else -math.inf for amount in (spec.cores, spec.gpus, spec.memory)
     )
@@ -159,7 +155,6 @@
         if capacity.cores >= min_cores
         and capacity.memory_gb >= min_memory_gb
         and capacity.gpus >= min_gpus
-        and capacity.task_slots > 0
         and satisfies_constraints(spec, capacity)
     ]
     candidates.sort(key=lambda each: (each.scarce, spec.image not in each.images, not each.spot, each.cores))
@@ -210,8 +205,9 @@
                 )
             allowed &= allowed_by_zone[capacity.zone]
         count = min(count, max_count - len(placements))
-        chosen = taskset.lowest(allowed & ~unrestricted, count)
-        chosen |= taskset.lowest(allowed & unrestricted, count - chosen.bit_count())
+        chosen = taskset.lowest(allowed & ~unrestricted if unrestricted else allowed, count)
+        if unrestricted:
+            chosen |= taskset.lowest(allowed & unrestricted, count - chosen.bit_count())
         if chosen:
             capacity.take(spec, chosen.bit_count())
             placements += [Placement(index, capacity) for index in taskset.task_numbers(chosen)]
